--- /dev/null
+++ b/libs/core/include/core/Digest.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <array>
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <cstring>
+#include <functional>
+
+namespace masticwall {
+
+/** 128 bits of a cryptographic hash: stands for a key or a request that is not kept. */
+struct Digest
+{
+  std::array<std::uint8_t, 16> bytes{};
+
+  auto operator<=>(const Digest&) const = default;
+};
+
+} // namespace masticwall
+
+template<>
+struct std::hash<masticwall::Digest>
+{
+  std::size_t operator()(const masticwall::Digest& aDigest) const noexcept
+  {
+    std::size_t n = 0;
+    std::memcpy(&n, aDigest.bytes.data(), sizeof n);
+    return n;
+  }
+};
--- /dev/null
+++ b/libs/core/include/core/RandomSource.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <cstdint>
+#include <random>
+
+namespace masticwall {
+
+/** A source of random bits. Seeded by its owner, so that a decision can be repeated. */
+template<class R>
+concept RandomSource = std::uniform_random_bit_generator<R>;
+
+/** A uniform index in [0, aCount); aCount must not be 0. */
+template<RandomSource R>
+std::size_t
+randomIndex(R& aRandom, std::size_t aCount)
+{
+  return std::uniform_int_distribution<std::size_t>(0, aCount - 1)(aRandom);
+}
+
+} // namespace masticwall
--- /dev/null
+++ b/libs/decide/include/decide/Limits.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <core/Time.h>
+#include <cstddef>
+#include <decide/ChoicePolicy.h>
+
+namespace masticwall {
+
+/** Limits that a preset sets for every entry process. */
+struct Limits
+{
+  std::size_t maxHeaderBytes = 16 * 1024;
+  std::size_t maxBodyBytes = 1024 * 1024;
+  int connectionsPerUpstream = 15; ///< of one entry process, over all its workers
+  std::size_t queueLength = 200;   ///< waiting calls of one rank and service
+  double overcommit = 2.0;         ///< in-flight limit over the even share of slots
+  double retryBudget = 0.1;        ///< retries as a share of calls
+  Duration orderWindow{ 600s };    ///< how long a key is remembered
+  ChoicePolicy choice = ChoicePolicy::AgedLoad;
+};
+
+} // namespace masticwall
--- /dev/null
+++ b/libs/decide/include/decide/OrderLedger.h
@@ -0,0 +1,126 @@
+#pragma once
+
+#include <core/ClaimId.h>
+#include <core/Digest.h>
+#include <core/Time.h>
+#include <decide/OrderState.h>
+#include <deque>
+#include <memory>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace masticwall {
+
+/**
+ * The orders that one entry process has claimed, with their recorded answers. The
+ * answer's type is the front end's own. Not thread-safe.
+ *
+ * A record moves only forwards: Claiming to Sent or NotRun, Sent to Answered, Unknown
+ * or (on an upstream's sign) NotRun. A record that ended as NotRun frees its key, but
+ * stays to be found by its claim.
+ */
+template<class Answer>
+class OrderLedger
+{
+public:
+  using Waiter = std::uint64_t;
+
+  struct Record
+  {
+    ClaimId claim;
+    Digest key;
+    Digest request;
+    OrderState state = OrderState::Claiming;
+    std::shared_ptr<const Answer> answer;
+    Instant begunAt;
+    std::vector<Waiter> waiters; ///< to be told when the record is settled
+  };
+
+  /** The record that holds `aKey`, or nothing. Valid until the next call. */
+  Record* findKey(const Digest& aKey)
+  {
+    const auto it = mByKey.find(aKey);
+    return it == mByKey.end() ? nullptr : findClaim(it->second);
+  }
+
+  Record* findClaim(std::uint64_t aSequence)
+  {
+    const auto it = mBySequence.find(aSequence);
+    return it == mBySequence.end() ? nullptr : &it->second;
+  }
+
+  /** Begins an order whose key is free. */
+  Record& begin(const ClaimId& aClaim,
+                const Digest& aKey,
+                const Digest& aRequest,
+                Instant aNow)
+  {
+    mByKey[aKey] = aClaim.sequence;
+    mAges.push_back(aClaim.sequence);
+    auto& record = mBySequence[aClaim.sequence];
+    record = { aClaim, aKey, aRequest, OrderState::Claiming, nullptr, aNow, {} };
+    return record;
+  }
+
+  /** Claiming to Sent; false if the record is gone or not Claiming. */
+  bool markSent(std::uint64_t aSequence)
+  {
+    auto* const record = findClaim(aSequence);
+    if (record == nullptr || record->state != OrderState::Claiming) {
+      return false;
+    }
+    record->state = OrderState::Sent;
+    return true;
+  }
+
+  /** Settles an unsettled record; returns the waiters to be told. */
+  std::vector<Waiter> settle(std::uint64_t aSequence,
+                             OrderState aState,
+                             std::shared_ptr<const Answer> aAnswer)
+  {
+    auto* const record = findClaim(aSequence);
+    if (record == nullptr || isSettled(record->state)) {
+      return {};
+    }
+    record->state = aState;
+    record->answer = std::move(aAnswer);
+    if (aState == OrderState::NotRun) {
+      freeKey(*record);
+    }
+    return std::exchange(record->waiters, {});
+  }
+
+  /** Forgets settled records begun before `aBefore`. */
+  void forget(Instant aBefore)
+  {
+    while (!mAges.empty()) {
+      auto* const record = findClaim(mAges.front());
+      if (record != nullptr) {
+        if (record->begunAt >= aBefore || !isSettled(record->state)) {
+          return;
+        }
+        freeKey(*record);
+        mBySequence.erase(mAges.front());
+      }
+      mAges.pop_front();
+    }
+  }
+
+  std::size_t size() const { return mBySequence.size(); }
+
+private:
+  void freeKey(const Record& aRecord)
+  {
+    const auto it = mByKey.find(aRecord.key);
+    if (it != mByKey.end() && it->second == aRecord.claim.sequence) {
+      mByKey.erase(it);
+    }
+  }
+
+  std::unordered_map<std::uint64_t, Record> mBySequence;
+  std::unordered_map<Digest, std::uint64_t> mByKey;
+  std::deque<std::uint64_t> mAges; ///< sequences, oldest first
+};
+
+} // namespace masticwall
--- /dev/null
+++ b/libs/decide/include/decide/SectionState.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace masticwall {
+
+/** A section's text and the version that set it. */
+struct SectionState
+{
+  std::uint64_t version = 0;
+  std::string text;
+};
+
+} // namespace masticwall
--- /dev/null
+++ b/libs/decide/include/decide/Service.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <string>
+
+namespace masticwall {
+
+/** A group of interchangeable upstreams. */
+struct Service
+{
+  std::string name;
+  int slots = 4; ///< calls that one upstream runs at a time
+};
+
+} // namespace masticwall
--- /dev/null
+++ b/libs/decide/include/decide/UpstreamPool.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include <algorithm>
+#include <decide/AgedLoad.h>
+#include <decide/CallEnd.h>
+#include <decide/ChoicePolicy.h>
+#include <decide/Chooser.h>
+#include <decide/FewestInFlight.h>
+#include <decide/SlotShare.h>
+#include <memory>
+#include <string_view>
+#include <vector>
+
+namespace masticwall {
+
+/**
+ * The upstreams of one service as one entry process knows them, and the choice among
+ * them. Not thread-safe; pure but for the random source that is passed in.
+ */
+class UpstreamPool
+{
+public:
+  /** Takes the list in force; keeps what is known of upstreams that stay. */
+  void update(const std::vector<UpstreamAddress>& aAddresses, int aSlots, Instant aNow);
+
+  /**
+   * Chooses an upstream of `aRegion` and counts a call on it; none if all are leaving,
+   * at `aMaxInFlight`, or named in `aExcluded`. Upstreams that back off are taken only
+   * when no other is left.
+   */
+  template<RandomSource R>
+  const UpstreamState* choose(ChoicePolicy aPolicy,
+                              std::string_view aRegion,
+                              int aMaxInFlight,
+                              const std::vector<std::string>& aExcluded,
+                              Instant aNow,
+                              R& aRandom)
+  {
+    auto candidates = eligible(aRegion, aMaxInFlight, aExcluded, aNow);
+    if (candidates.empty()) {
+      return nullptr;
+    }
+    auto* const chosen = pick(aPolicy, candidates, aNow, aRandom);
+    ++chosen->inFlight;
+    return chosen;
+  }
+
+  /** A call on `aName` ended. `aLatency` counts for answered calls only. */
+  void finished(std::string_view aName, CallEnd aEnd, Duration aLatency, Instant aNow);
+
+  void reportLoad(std::string_view aName, const LoadReport& aLoad);
+
+  /** The upstream's instance leaves; it stays so until another instance is listed. */
+  void markLeaving(std::string_view aName, std::string_view aInstance);
+
+  /** The regions that have upstreams, `aLocal` first. */
+  std::vector<std::string> regions(std::string_view aLocal) const;
+
+  int totalSlots() const;
+  std::vector<UpstreamState> snapshot() const;
+
+private:
+  template<RandomSource R>
+  static UpstreamState* pick(ChoicePolicy aPolicy,
+                             Candidates aCandidates,
+                             Instant aNow,
+                             R& aRandom)
+  {
+    switch (aPolicy) {
+      case ChoicePolicy::Random:
+        return chooseRandom(aCandidates, aRandom);
+      case ChoicePolicy::FewestInFlight:
+        return chooseBetterOfTwo(aCandidates, FewestInFlight{}, aNow, aRandom);
+      case ChoicePolicy::AgedLoad:
+        return chooseBetterOfTwo(aCandidates, AgedLoad{}, aNow, aRandom);
+      case ChoicePolicy::SlotShare:
+        return chooseBetterOfTwo(aCandidates, SlotShare{}, aNow, aRandom);
+    }
+    return chooseRandom(aCandidates, aRandom);
+  }
+
+  std::vector<UpstreamState*> eligible(std::string_view aRegion,
+                                       int aMaxInFlight,
+                                       const std::vector<std::string>& aExcluded,
+                                       Instant aNow);
+  UpstreamState* find(std::string_view aName);
+
+  std::vector<std::unique_ptr<UpstreamState>> mStates;
+  std::vector<UpstreamAddress> mLeaving; ///< instances that said so
+};
+
+} // namespace masticwall
--- /dev/null
+++ b/libs/decide/include/decide/UpstreamState.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <decide/LoadReport.h>
+#include <decide/UpstreamAddress.h>
+
+namespace masticwall {
+
+/** What one entry process knows of one upstream. */
+struct UpstreamState
+{
+  UpstreamAddress address;
+  int slots = 1;
+  int inFlight = 0; ///< calls from this process
+  LoadReport load;
+  Duration meanLatency{ 0 };
+  int failuresInARow = 0;
+  Instant backOffUntil; ///< no call before; set after failures and shedding
+  Instant seenSince;    ///< when this instance was first seen
+  bool leaving = false;
+};
+
+} // namespace masticwall
--- /dev/null
+++ b/libs/decide/src/SuspectList.cpp
@@ -0,0 +1,57 @@
+#include <decide/SuspectList.h>
+
+namespace masticwall {
+
+namespace {
+
+constexpr int kMostDeaths = 2;
+constexpr std::size_t kMostEntries = 10'000;
+constexpr Duration kRemembered = std::chrono::minutes(30);
+
+} // namespace
+
+int
+SuspectList::noteDeath(const Digest& aRequest, Instant aNow)
+{
+  auto& entry = entryOf(aRequest, aNow);
+  entry.last = aNow;
+  return ++entry.deaths;
+}
+
+bool
+SuspectList::merge(const Digest& aRequest, int aDeaths, Instant aNow)
+{
+  auto& entry = entryOf(aRequest, aNow);
+  if (aDeaths <= entry.deaths) {
+    return false;
+  }
+  entry = { aDeaths, aNow };
+  return true;
+}
+
+bool
+SuspectList::isStopped(const Digest& aRequest, Instant aNow) const
+{
+  const auto it = mEntries.find(aRequest);
+  return it != mEntries.end() && it->second.deaths >= kMostDeaths &&
+         aNow - it->second.last < kRemembered;
+}
+
+SuspectList::Entry&
+SuspectList::entryOf(const Digest& aRequest, Instant aNow)
+{
+  const auto [it, isNew] = mEntries.try_emplace(aRequest);
+  if (!isNew && aNow - it->second.last >= kRemembered) {
+    it->second = {};
+  }
+  if (isNew) {
+    mAges.push_back(aRequest);
+  }
+  if (mAges.size() > kMostEntries) {
+    mEntries.erase(mAges.front());
+    mAges.pop_front();
+  }
+  return mEntries.at(aRequest);
+}
+
+} // namespace masticwall
--- /dev/null
+++ b/libs/decide/src/UpstreamPool.cpp
@@ -0,0 +1,180 @@
+#include <decide/UpstreamPool.h>
+#include <utility>
+
+namespace masticwall {
+
+namespace {
+
+constexpr Duration kFirstBackOff = std::chrono::milliseconds(100);
+constexpr Duration kLongestBackOff = std::chrono::seconds(5);
+constexpr Duration kShedBackOff = std::chrono::milliseconds(20);
+constexpr Duration kColdPeriod = std::chrono::seconds(2);
+constexpr int kLatencyWeight = 8; ///< one answer weighs 1/8 in the mean
+constexpr int kMaxDoublings = 6;
+
+Duration
+backOffAfter(int aFailuresInARow)
+{
+  const auto doublings = std::min(aFailuresInARow - 1, kMaxDoublings);
+  return std::min(kFirstBackOff * (1 << doublings), kLongestBackOff);
+}
+
+/** A cold upstream takes one call at a time at first, and all after the cold period. */
+int
+warmLimit(const UpstreamState& aState, int aMaxInFlight, Instant aNow)
+{
+  const auto age = aNow - aState.seenSince;
+  if (age >= kColdPeriod) {
+    return aMaxInFlight;
+  }
+  return std::min<int>(aMaxInFlight,
+                       1 + static_cast<int>(aState.slots * age / kColdPeriod));
+}
+
+} // namespace
+
+void
+UpstreamPool::update(const std::vector<UpstreamAddress>& aAddresses,
+                     int aSlots,
+                     Instant aNow)
+{
+  const bool isFirstList = mStates.empty();
+  std::vector<std::unique_ptr<UpstreamState>> states;
+  for (const auto& it : aAddresses) {
+    const auto known =
+      std::find_if(mStates.begin(), mStates.end(), [&](const auto& aState) {
+        return aState != nullptr && aState->address == it;
+      });
+    std::unique_ptr<UpstreamState> state;
+    if (known != mStates.end()) {
+      state = std::move(*known);
+    } else {
+      state = std::make_unique<UpstreamState>();
+      state->address = it;
+      // What is there when this process starts has been running: not cold.
+      state->seenSince = isFirstList ? aNow - kColdPeriod : aNow;
+    }
+    state->slots = std::max(1, aSlots);
+    state->leaving = std::find(mLeaving.begin(), mLeaving.end(), it) != mLeaving.end();
+    states.push_back(std::move(state));
+  }
+  std::erase_if(mLeaving, [&](const UpstreamAddress& aAddress) {
+    return std::any_of(aAddresses.begin(), aAddresses.end(), [&](const auto& aListed) {
+      return aListed.name == aAddress.name && aListed.instance != aAddress.instance;
+    });
+  });
+  mStates = std::move(states);
+}
+
+void
+UpstreamPool::finished(std::string_view aName,
+                       CallEnd aEnd,
+                       Duration aLatency,
+                       Instant aNow)
+{
+  auto* const state = find(aName);
+  if (state == nullptr) {
+    return;
+  }
+  state->inFlight = std::max(0, state->inFlight - 1);
+  switch (aEnd) {
+    case CallEnd::Answered:
+      state->failuresInARow = 0;
+      state->backOffUntil = Instant{};
+      state->meanLatency += (aLatency - state->meanLatency) / kLatencyWeight;
+      return;
+    case CallEnd::Shed:
+      state->backOffUntil = aNow + kShedBackOff;
+      return;
+    case CallEnd::Failed:
+      ++state->failuresInARow;
+      state->backOffUntil = aNow + backOffAfter(state->failuresInARow);
+      return;
+    case CallEnd::Cancelled:
+      return;
+  }
+}
+
+void
+UpstreamPool::reportLoad(std::string_view aName, const LoadReport& aLoad)
+{
+  if (auto* const state = find(aName)) {
+    state->load = aLoad;
+  }
+}
+
+void
+UpstreamPool::markLeaving(std::string_view aName, std::string_view aInstance)
+{
+  auto* const state = find(aName);
+  if (state == nullptr || state->leaving || state->address.instance != aInstance) {
+    return;
+  }
+  state->leaving = true;
+  mLeaving.push_back(state->address);
+}
+
+std::vector<std::string>
+UpstreamPool::regions(std::string_view aLocal) const
+{
+  std::vector<std::string> regions{ std::string(aLocal) };
+  for (const auto& it : mStates) {
+    const auto& region = it->address.region;
+    if (std::find(regions.begin(), regions.end(), region) == regions.end()) {
+      regions.push_back(region);
+    }
+  }
+  return regions;
+}
+
+int
+UpstreamPool::totalSlots() const
+{
+  int n = 0;
+  for (const auto& it : mStates) {
+    n += it->leaving ? 0 : it->slots;
+  }
+  return n;
+}
+
+std::vector<UpstreamState>
+UpstreamPool::snapshot() const
+{
+  std::vector<UpstreamState> states;
+  states.reserve(mStates.size());
+  for (const auto& it : mStates) {
+    states.push_back(*it);
+  }
+  return states;
+}
+
+std::vector<UpstreamState*>
+UpstreamPool::eligible(std::string_view aRegion,
+                       int aMaxInFlight,
+                       const std::vector<std::string>& aExcluded,
+                       Instant aNow)
+{
+  std::vector<UpstreamState*> ready;
+  std::vector<UpstreamState*> backingOff;
+  for (const auto& it : mStates) {
+    const bool isExcluded =
+      std::find(aExcluded.begin(), aExcluded.end(), it->address.name) != aExcluded.end();
+    if (it->leaving || isExcluded || it->address.region != aRegion ||
+        it->inFlight >= warmLimit(*it, aMaxInFlight, aNow)) {
+      continue;
+    }
+    (it->backOffUntil > aNow ? backingOff : ready).push_back(it.get());
+  }
+  return ready.empty() ? backingOff : ready;
+}
+
+UpstreamState*
+UpstreamPool::find(std::string_view aName)
+{
+  const auto it = std::find_if(mStates.begin(), mStates.end(), [&](const auto& aState) {
+    return aState->address.name == aName;
+  });
+  return it == mStates.end() ? nullptr : it->get();
+}
+
+} // namespace masticwall
--- /dev/null
+++ b/libs/http/include/http/BackResult.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <http/Response.h>
+#include <system_error>
+
+namespace masticwall::http {
+
+/** How an exchange with an upstream ended. */
+struct BackResult
+{
+  std::error_code error;   ///< a BackError; clear if `response` is whole
+  bool mayHaveRun = false; ///< the first byte of the request may have left
+  Response response;
+};
+
+} // namespace masticwall::http
--- /dev/null
+++ b/libs/http/src/BackPool.cpp
@@ -0,0 +1,203 @@
+#include "BackConnection.h"
+#include <algorithm>
+#include <http/BackError.h>
+#include <http/BackPool.h>
+#include <map>
+#include <vector>
+
+namespace masticwall::http {
+
+namespace {
+
+/** How long after it was last heard of a connection counts as alive. */
+constexpr Duration kProvenFor = std::chrono::seconds(1);
+
+/** An idle connection that has not been heard of for so long is closed. */
+constexpr Duration kIdleLimit = std::chrono::seconds(30);
+constexpr Duration kSweepPeriod = std::chrono::seconds(5);
+
+} // namespace
+
+struct BackPool::Impl
+{
+  using Address = std::pair<std::uint32_t, std::uint16_t>;
+  using Connections = std::vector<std::shared_ptr<BackConnection>>;
+
+  TimerService& timers;
+  int perUpstream;
+  std::map<Address, Connections> byAddress;
+  std::map<std::uint64_t, std::weak_ptr<BackConnection>> byExchange;
+  std::map<std::uint64_t, TimerSubscription> refused;
+  std::uint64_t nextExchange = 1;
+  TimerSubscription sweep;
+
+  /** The idle connection heard of last; null if none may carry the exchange. */
+  std::shared_ptr<BackConnection> findIdle(const Connections& aConnections,
+                                           bool aProvenOnly) const
+  {
+    std::shared_ptr<BackConnection> best;
+    for (const auto& it : aConnections) {
+      if (it->isIdle() && (best == nullptr || it->lastAlive() > best->lastAlive())) {
+        best = it;
+      }
+    }
+    const bool isUnproven =
+      best != nullptr && aProvenOnly && timers.now() - best->lastAlive() > kProvenFor;
+    return isUnproven ? nullptr : best;
+  }
+
+  /** Closes the idle connection that was heard of longest ago, to make room. */
+  static void closeOldestIdle(Connections& aConnections)
+  {
+    std::shared_ptr<BackConnection> oldest;
+    for (const auto& it : aConnections) {
+      if (it->isIdle() && (oldest == nullptr || it->lastAlive() < oldest->lastAlive())) {
+        oldest = it;
+      }
+    }
+    if (oldest != nullptr) {
+      oldest->abandon();
+    }
+  }
+
+  std::shared_ptr<BackConnection> open(const Address& aAddress, const Exchange& aExchange)
+  {
+    auto& connections = byAddress[aAddress];
+    if (connections.size() >= static_cast<std::size_t>(perUpstream)) {
+      closeOldestIdle(connections);
+    }
+    if (connections.size() >= static_cast<std::size_t>(perUpstream)) {
+      return nullptr;
+    }
+    auto connection =
+      std::make_shared<BackConnection>(timers,
+                                       aExchange.host,
+                                       aExchange.port,
+                                       [this, aAddress](BackConnection& aConnection) {
+                                         if (aConnection.isClosed()) {
+                                           drop(aAddress, aConnection);
+                                         }
+                                       });
+    connections.push_back(connection);
+    return connection;
+  }
+
+  void drop(const Address& aAddress, const BackConnection& aConnection)
+  {
+    std::erase_if(byAddress[aAddress],
+                  [&](const auto& aOther) { return aOther.get() == &aConnection; });
+  }
+
+  /**
+   * After a timeout the other connections to the upstream may be silent as well: those
+   * not heard of since are closed, so that the next calls open new ones.
+   */
+  void closeUnprovenSince(const Address& aAddress, Instant aSince)
+  {
+    const auto connections = byAddress[aAddress];
+    for (const auto& it : connections) {
+      if (it->isIdle() && it->lastAlive() < aSince) {
+        it->abandon();
+      }
+    }
+  }
+
+  void closeOld()
+  {
+    const auto before = timers.now() - kIdleLimit;
+    for (auto it = byAddress.begin(); it != byAddress.end();) {
+      closeUnprovenSince(it->first, before);
+      it = it->second.empty() ? byAddress.erase(it) : std::next(it);
+    }
+  }
+
+  /** Reports, from the event loop, that the limit of connections is reached. */
+  void refuse(std::uint64_t aId, std::function<void(BackResult)> aDone)
+  {
+    refused[aId] =
+      timers.subscribeIn(Duration{ 0 }, [this, aId, done = std::move(aDone)] {
+        const auto callback = done;
+        refused.erase(aId);
+        callback({ BackError::NoConnection, false, {} });
+      });
+  }
+};
+
+BackPool::BackPool(TimerService& aTimers, int aConnectionsPerUpstream)
+  : mImpl(std::make_unique<Impl>(Impl{ aTimers, 1, {}, {}, {}, 1, {} }))
+{
+  setConnectionsPerUpstream(aConnectionsPerUpstream);
+  auto* const impl = mImpl.get();
+  impl->sweep = aTimers.subscribeEvery(kSweepPeriod, [impl] { impl->closeOld(); });
+}
+
+BackPool::~BackPool()
+{
+  const auto byAddress = mImpl->byAddress;
+  for (const auto& [address, connections] : byAddress) {
+    for (const auto& it : connections) {
+      it->abandon();
+    }
+  }
+}
+
+std::uint64_t
+BackPool::start(Exchange aExchange)
+{
+  auto* const impl = mImpl.get();
+  const auto id = impl->nextExchange++;
+  const Impl::Address address{ aExchange.host.toIPv4Address(), aExchange.port };
+  auto connection = impl->findIdle(impl->byAddress[address], aExchange.provenOnly);
+  if (connection == nullptr) {
+    connection = impl->open(address, aExchange);
+  }
+  if (connection == nullptr) {
+    impl->refuse(id, std::move(aExchange.done));
+    return id;
+  }
+  const auto startedAt = impl->timers.now();
+  aExchange.done =
+    [impl, id, address, startedAt, done = std::move(aExchange.done)](BackResult aResult) {
+      impl->byExchange.erase(id);
+      if (aResult.error == BackError::Timeout) {
+        impl->closeUnprovenSince(address, startedAt);
+      }
+      done(std::move(aResult));
+    };
+  impl->byExchange[id] = connection;
+  connection->carry(id, std::move(aExchange));
+  return id;
+}
+
+void
+BackPool::cancel(std::uint64_t aExchange)
+{
+  mImpl->refused.erase(aExchange);
+  const auto it = mImpl->byExchange.find(aExchange);
+  if (it == mImpl->byExchange.end()) {
+    return;
+  }
+  const auto connection = it->second.lock();
+  mImpl->byExchange.erase(it);
+  if (connection != nullptr && connection->exchangeId() == aExchange) {
+    connection->abandon();
+  }
+}
+
+void
+BackPool::setConnectionsPerUpstream(int aConnections)
+{
+  mImpl->perUpstream = std::max(1, aConnections);
+}
+
+std::size_t
+BackPool::connectionCount() const
+{
+  std::size_t n = 0;
+  for (const auto& [address, connections] : mImpl->byAddress) {
+    n += connections.size();
+  }
+  return n;
+}
+
+} // namespace masticwall::http
--- /dev/null
+++ b/libs/http/src/BeastMessage.h
@@ -0,0 +1,122 @@
+#pragma once
+
+#include <QByteArray>
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http.hpp>
+#include <http/Header.h>
+#include <http/HttpError.h>
+
+// Helpers shared by the few files that see Beast.
+namespace masticwall::http {
+
+namespace beast = boost::beast::http;
+
+inline std::string
+toString(boost::beast::string_view aText)
+{
+  return { aText.data(), aText.size() };
+}
+
+/** The fields that describe a connection or a message's framing, not the message. */
+inline bool
+isFramingField(beast::field aField)
+{
+  switch (aField) {
+    case beast::field::connection:
+    case beast::field::content_length:
+    case beast::field::transfer_encoding:
+    case beast::field::keep_alive:
+    case beast::field::proxy_connection:
+    case beast::field::te:
+    case beast::field::trailer:
+    case beast::field::upgrade:
+    case beast::field::expect:
+      return true;
+    default:
+      return false;
+  }
+}
+
+/** Copies the end-to-end fields of a Beast message. */
+template<class Fields>
+HeaderList
+endToEndHeaders(const Fields& aFields)
+{
+  HeaderList headers;
+  for (const auto& it : aFields) {
+    if (!isFramingField(it.name())) {
+      headers.push_back({ toString(it.name_string()), toString(it.value()) });
+    }
+  }
+  return headers;
+}
+
+inline HttpError
+toHttpError(const boost::system::error_code& aCode)
+{
+  if (aCode == beast::error::header_limit) {
+    return HttpError::HeaderTooLarge;
+  }
+  if (aCode == beast::error::body_limit) {
+    return HttpError::BodyTooLarge;
+  }
+  return HttpError::Malformed;
+}
+
+/**
+ * Feeds a Beast parser from the front of `aBytes` and removes what it took; needing more
+ * is no error.
+ */
+template<class Parser>
+boost::system::error_code
+putBytes(Parser& aParser, QByteArray& aBytes)
+{
+  boost::system::error_code ec;
+  std::size_t taken = 0;
+  const auto size = static_cast<std::size_t>(aBytes.size());
+  while (taken < size && !aParser.is_done()) {
+    const boost::asio::const_buffer buf(aBytes.constData() + taken, size - taken);
+    const auto n = aParser.put(buf, ec);
+    taken += n;
+    if (ec == beast::error::need_more) {
+      ec = {};
+      break;
+    }
+    if (ec) {
+      break;
+    }
+  }
+  aBytes.remove(0, static_cast<qsizetype>(taken));
+  return ec;
+}
+
+/** Serializes a whole Beast message. */
+template<bool IsRequest, class Body>
+QByteArray
+toBytes(beast::message<IsRequest, Body>& aMessage, bool aIsHeaderOnly)
+{
+  beast::serializer<IsRequest, Body> serializer(aMessage);
+  serializer.split(aIsHeaderOnly);
+  QByteArray bytes;
+  boost::system::error_code ec;
+  const auto isFinished = [&] {
+    return aIsHeaderOnly ? serializer.is_header_done() : serializer.is_done();
+  };
+  while (!isFinished() && !ec) {
+    serializer.next(ec, [&](boost::system::error_code&, const auto& aBuffers) {
+      std::size_t n = 0;
+      for (auto it = boost::asio::buffer_sequence_begin(aBuffers);
+           it != boost::asio::buffer_sequence_end(aBuffers);
+           ++it) {
+        const boost::asio::const_buffer buf = *it;
+        bytes.append(static_cast<const char*>(buf.data()),
+                     static_cast<qsizetype>(buf.size()));
+        n += buf.size();
+      }
+      serializer.consume(n);
+    });
+  }
+  return bytes;
+}
+
+} // namespace masticwall::http
--- /dev/null
+++ b/libs/http/src/FrontListener.cpp
@@ -0,0 +1,163 @@
+#include "FrontConnection.h"
+#include <QTcpServer>
+#include <cerrno>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <unordered_map>
+
+namespace masticwall::http {
+
+namespace {
+
+constexpr int kAcceptQueueLength = 1024;
+constexpr Duration kSweepPeriod = std::chrono::milliseconds(250);
+
+/** A listening socket on an address that other sockets of the process may share. */
+Result<int>
+listenShared(const QHostAddress& aHost, std::uint16_t aPort)
+{
+  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (fd < 0) {
+    return std::error_code(errno, std::generic_category());
+  }
+  const int on = 1;
+  setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  setsockopt(fd, SOL_SOCKET, SO_REUSEPORT, &on, sizeof on);
+  sockaddr_in address = {};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(aPort);
+  address.sin_addr.s_addr = htonl(aHost.toIPv4Address());
+  if (bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof address) != 0 ||
+      ::listen(fd, kAcceptQueueLength) != 0) {
+    const std::error_code ec(errno, std::generic_category());
+    ::close(fd);
+    return ec;
+  }
+  return fd;
+}
+
+} // namespace
+
+struct FrontListener::Impl
+{
+  QTcpServer server;
+  std::shared_ptr<FrontConnection::Context> context;
+  std::unordered_map<std::uint64_t, std::shared_ptr<FrontConnection>> connections;
+  std::uint64_t nextId = 1;
+  TimerSubscription sweep;
+
+  void acceptAll()
+  {
+    while (auto* const socket = server.nextPendingConnection()) {
+      if (connections.size() >= context->settings.maxConnections) {
+        socket->abort();
+        socket->deleteLater();
+        continue;
+      }
+      socket->setParent(nullptr);
+      const auto id = nextId++;
+      const auto connection = std::make_shared<FrontConnection>(
+        socket, context, [this, id] { connections.erase(id); });
+      connections[id] = connection;
+      connection->start();
+    }
+  }
+
+  /** A copy, because connections leave the table while they are called. */
+  std::vector<std::shared_ptr<FrontConnection>> all() const
+  {
+    std::vector<std::shared_ptr<FrontConnection>> list;
+    list.reserve(connections.size());
+    for (const auto& [id, connection] : connections) {
+      list.push_back(connection);
+    }
+    return list;
+  }
+};
+
+Result<std::unique_ptr<FrontListener>>
+FrontListener::listen(TimerService& aTimers,
+                      const QHostAddress& aHost,
+                      std::uint16_t aPort,
+                      const FrontSettings& aSettings,
+                      Handler aHandler,
+                      Refuser aRefuser)
+{
+  auto fd = listenShared(aHost, aPort);
+  if (fd.has_error()) {
+    return fd.error();
+  }
+  auto impl = std::make_unique<Impl>();
+  if (!impl->server.setSocketDescriptor(fd.value())) {
+    ::close(fd.value());
+    return std::make_error_code(std::errc::bad_file_descriptor);
+  }
+  impl->context = std::make_shared<FrontConnection::Context>();
+  impl->context->settings = aSettings;
+  impl->context->handler = std::move(aHandler);
+  impl->context->refuser = std::move(aRefuser);
+  auto* const raw = impl.get();
+  raw->server.setMaxPendingConnections(kAcceptQueueLength);
+  QObject::connect(
+    &raw->server, &QTcpServer::newConnection, &raw->server, [raw] { raw->acceptAll(); });
+  auto* const timers = &aTimers;
+  raw->sweep = aTimers.subscribeEvery(kSweepPeriod, [raw, timers] {
+    for (const auto& it : raw->all()) {
+      it->checkTimeouts(timers->now());
+    }
+  });
+  return std::unique_ptr<FrontListener>(new FrontListener(std::move(impl)));
+}
+
+FrontListener::FrontListener(std::unique_ptr<Impl> aImpl)
+  : mImpl(std::move(aImpl))
+{
+}
+
+FrontListener::~FrontListener() = default;
+
+std::uint16_t
+FrontListener::port() const
+{
+  return mImpl->server.serverPort();
+}
+
+void
+FrontListener::closeAfterAnswers()
+{
+  mImpl->context->isClosing = true;
+}
+
+void
+FrontListener::stopAccepting()
+{
+  while (mImpl->server.waitForNewConnection(0)) {
+    mImpl->acceptAll();
+  }
+  mImpl->server.close();
+}
+
+void
+FrontListener::closeIdle()
+{
+  for (const auto& it : mImpl->all()) {
+    if (it->isIdle()) {
+      it->close();
+    }
+  }
+}
+
+std::size_t
+FrontListener::connectionCount() const
+{
+  return mImpl->connections.size();
+}
+
+void
+FrontListener::setMessageLimits(const MessageLimits& aLimits)
+{
+  mImpl->context->settings.message = aLimits;
+}
+
+} // namespace masticwall::http
--- /dev/null
+++ b/libs/http/src/ResponseParser.cpp
@@ -0,0 +1,88 @@
+#include "BeastMessage.h"
+#include <http/ResponseParser.h>
+
+namespace masticwall::http {
+
+struct ResponseParser::Impl
+{
+  using Parser = beast::response_parser<beast::string_body>;
+
+  MessageLimits limits;
+  bool isHead = false;
+  std::optional<Parser> parser;
+
+  void reset()
+  {
+    parser.emplace();
+    parser->eager(true);
+    parser->skip(isHead);
+    parser->header_limit(limits.maxHeaderBytes);
+    parser->body_limit(limits.maxBodyBytes);
+  }
+
+  bool isInterim() const
+  {
+    return beast::to_status_class(parser->get().result()) ==
+           beast::status_class::informational;
+  }
+
+  bool isUnframed() const
+  {
+    const auto& message = parser->get();
+    const auto status = message.result();
+    const bool hasNoBody = isHead || status == beast::status::no_content ||
+                           status == beast::status::not_modified;
+    return !hasNoBody && !parser->chunked() && !parser->content_length();
+  }
+
+  Response take()
+  {
+    auto message = parser->release();
+    Response response;
+    response.status = static_cast<int>(message.result_int());
+    response.headers = endToEndHeaders(message);
+    response.keepAlive = message.keep_alive();
+    response.body = std::move(message.body());
+    return response;
+  }
+};
+
+ResponseParser::ResponseParser(const MessageLimits& aLimits, bool aIsHead)
+  : mImpl(std::make_unique<Impl>())
+{
+  mImpl->limits = aLimits;
+  mImpl->isHead = aIsHead;
+  mImpl->reset();
+}
+
+ResponseParser::~ResponseParser() = default;
+ResponseParser::ResponseParser(ResponseParser&&) noexcept = default;
+ResponseParser&
+ResponseParser::operator=(ResponseParser&&) noexcept = default;
+
+Result<std::optional<Response>>
+ResponseParser::feed(QByteArray& aBytes)
+{
+  while (true) {
+    const auto ec = putBytes(*mImpl->parser, aBytes);
+    if (ec) {
+      return toHttpError(ec);
+    }
+    if (!mImpl->parser->is_header_done()) {
+      return std::optional<Response>();
+    }
+    if (mImpl->isInterim()) {
+      mImpl->reset();
+      continue;
+    }
+    if (mImpl->isUnframed()) {
+      return HttpError::Unframed;
+    }
+    if (!mImpl->parser->is_done()) {
+      return std::optional<Response>();
+    }
+    return std::optional(mImpl->take());
+  }
+}
+
+} // namespace masticwall::http
--- /dev/null
+++ b/libs/messages/include/messages/ClaimMessage.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <QByteArray>
+#include <core/Result.h>
+#include <decide/Claim.h>
+#include <messages/ClaimRecord.h>
+
+namespace masticwall {
+
+/** A single claim, from an entry process to its control process. */
+inline QByteArray
+encode(const Claim& aClaim)
+{
+  return encode(ClaimRecord{ { aClaim }, {} });
+}
+
+/** Fails with a MessageError. */
+inline Result<Claim>
+decodeClaim(const QByteArray& aBytes)
+{
+  BOOST_OUTCOME_TRY(record, decodeClaimRecord(aBytes));
+  if (record.claims.size() != 1) {
+    return std::make_error_code(std::errc::invalid_argument);
+  }
+  return record.claims.front();
+}
+
+} // namespace masticwall
--- /dev/null
+++ b/libs/messages/include/messages/ClaimRecord.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <QByteArray>
+#include <core/Result.h>
+#include <decide/Claim.h>
+#include <vector>
+
+namespace masticwall {
+
+/** One record of a claim stream: many claims and releases at once. */
+struct ClaimRecord
+{
+  std::vector<Claim> claims;
+  std::vector<ClaimId> releases;
+};
+
+QByteArray
+encode(const ClaimRecord& aRecord);
+
+/** Fails with a MessageError. */
+Result<ClaimRecord>
+decodeClaimRecord(const QByteArray& aBytes);
+
+} // namespace masticwall
--- /dev/null
+++ b/libs/messages/include/messages/ConfigRecordMessage.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <QByteArray>
+#include <core/Result.h>
+#include <decide/ConfigRecord.h>
+
+namespace masticwall {
+
+/** A record of the configuration stream. */
+QByteArray
+encode(const ConfigRecord& aRecord);
+
+/** Fails with a MessageError. */
+Result<ConfigRecord>
+decodeConfigRecord(const QByteArray& aBytes);
+
+} // namespace masticwall
--- /dev/null
+++ b/libs/messages/include/messages/Feed.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <QByteArray>
+#include <core/Digest.h>
+#include <core/Result.h>
+#include <decide/Vm.h>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace masticwall {
+
+/** What an entry process has when it asks its control process for news. */
+struct FeedRequest
+{
+  std::uint64_t version = 0;  ///< of the preset in force
+  std::uint64_t revision = 0; ///< of the membership
+};
+
+/** A request that has taken upstreams down. */
+struct Suspect
+{
+  Digest request;
+  int deaths = 0;
+};
+
+/** What a control process tells its entry process; parts that are not newer are empty. */
+struct Feed
+{
+  std::uint64_t version = 0;
+  std::string preset;                          ///< empty if not newer
+  std::map<std::string, std::string> sections; ///< of the preset, by name
+  std::uint64_t revision = 0;
+  VmList vms; ///< empty if not newer
+  std::vector<Suspect> suspects;
+};
+
+QByteArray
+encode(const FeedRequest& aRequest);
+
+/** Fails with a MessageError. */
+Result<FeedRequest>
+decodeFeedRequest(const QByteArray& aBytes);
+
+QByteArray
+encode(const Feed& aFeed);
+
+/** Fails with a MessageError. */
+Result<Feed>
+decodeFeed(const QByteArray& aBytes);
+
+QByteArray
+encode(const Suspect& aSuspect);
+
+/** Fails with a MessageError. */
+Result<Suspect>
+decodeSuspect(const QByteArray& aBytes);
+
+} // namespace masticwall
--- /dev/null
+++ b/libs/messages/src/CborReader.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "Field.h"
+#include <QByteArray>
+#include <QCborArray>
+#include <QCborMap>
+#include <core/ClaimId.h>
+#include <core/Digest.h>
+#include <core/EnumNames.h>
+#include <messages/MessageError.h>
+#include <string>
+#include <system_error>
+
+namespace masticwall {
+
+/**
+ * Reads the fields of a CBOR map. The first field that is missing or of another type
+ * sets error(); what is read after it has no meaning.
+ */
+class CborReader
+{
+public:
+  explicit CborReader(const QByteArray& aBytes);
+  explicit CborReader(const QCborValue& aValue);
+
+  const std::error_code& error() const { return mError; }
+
+  std::string text(Field aField);
+  QByteArray bytes(Field aField);
+  std::uint64_t number(Field aField);
+  bool flag(Field aField);
+  QCborArray array(Field aField);
+  QCborValue value(Field aField);
+  Digest digest(Field aField);
+  ClaimId claimId(Field aField);
+
+  template<NamedEnum E>
+  E name(Field aField)
+  {
+    const auto found = fromName<E>(text(aField));
+    if (!found.has_value()) {
+      fail(MessageError::UnknownName);
+      return EnumTable<E>::kEntries.front().value;
+    }
+    return *found;
+  }
+
+private:
+  void fail(MessageError aError);
+
+  QCborMap mMap;
+  std::error_code mError;
+};
+
+} // namespace masticwall
--- /dev/null
+++ b/libs/messages/src/ClaimVerdictMessage.cpp
@@ -0,0 +1,31 @@
+#include "CborReader.h"
+#include "CborWriter.h"
+#include <messages/ClaimVerdictMessage.h>
+
+namespace masticwall {
+
+QByteArray
+encode(const ClaimVerdict& aVerdict)
+{
+  CborWriter writer;
+  writer.claimId(Field::Claim, aVerdict.claim);
+  writer.name(Field::Standing, aVerdict.standing);
+  writer.claimId(Field::Holder, aVerdict.holder);
+  return writer.bytes();
+}
+
+Result<ClaimVerdict>
+decodeClaimVerdict(const QByteArray& aBytes)
+{
+  CborReader reader(aBytes);
+  ClaimVerdict verdict;
+  verdict.claim = reader.claimId(Field::Claim);
+  verdict.standing = reader.name<ClaimStanding>(Field::Standing);
+  verdict.holder = reader.claimId(Field::Holder);
+  if (reader.error()) {
+    return reader.error();
+  }
+  return verdict;
+}
+
+} // namespace masticwall
--- /dev/null
+++ b/libs/messages/src/Feed.cpp
@@ -0,0 +1,161 @@
+#include "CborReader.h"
+#include "CborWriter.h"
+#include <messages/Feed.h>
+
+namespace masticwall {
+
+namespace {
+
+QCborMap
+toMap(const Vm& aVm)
+{
+  CborWriter writer;
+  writer.text(Field::Name, aVm.name);
+  writer.name(Field::Role, aVm.role);
+  writer.text(Field::Region, aVm.region);
+  writer.text(Field::DataCentre, aVm.dataCentre);
+  writer.text(Field::Service, aVm.service);
+  writer.text(Field::Host, aVm.host);
+  writer.number(Field::Port, aVm.port);
+  writer.number(Field::ControlPort, aVm.controlPort);
+  writer.number(Field::OperatorPort, aVm.operatorPort);
+  writer.text(Field::Instance, aVm.instance);
+  writer.flag(Field::Leaving, aVm.leaving);
+  return writer.map();
+}
+
+Result<Vm>
+toVm(const QCborValue& aValue)
+{
+  CborReader reader(aValue);
+  Vm vm;
+  vm.name = reader.text(Field::Name);
+  vm.role = reader.name<VmRole>(Field::Role);
+  vm.region = reader.text(Field::Region);
+  vm.dataCentre = reader.text(Field::DataCentre);
+  vm.service = reader.text(Field::Service);
+  vm.host = reader.text(Field::Host);
+  vm.port = static_cast<std::uint16_t>(reader.number(Field::Port));
+  vm.controlPort = static_cast<std::uint16_t>(reader.number(Field::ControlPort));
+  vm.operatorPort = static_cast<std::uint16_t>(reader.number(Field::OperatorPort));
+  vm.instance = reader.text(Field::Instance);
+  vm.leaving = reader.flag(Field::Leaving);
+  if (reader.error()) {
+    return reader.error();
+  }
+  return vm;
+}
+
+QCborMap
+toMap(const Suspect& aSuspect)
+{
+  CborWriter writer;
+  writer.digest(Field::Request, aSuspect.request);
+  writer.number(Field::Deaths, static_cast<std::uint64_t>(aSuspect.deaths));
+  return writer.map();
+}
+
+Result<Suspect>
+toSuspect(CborReader aReader)
+{
+  Suspect suspect;
+  suspect.request = aReader.digest(Field::Request);
+  suspect.deaths = static_cast<int>(aReader.number(Field::Deaths));
+  if (aReader.error()) {
+    return aReader.error();
+  }
+  return suspect;
+}
+
+} // namespace
+
+QByteArray
+encode(const FeedRequest& aRequest)
+{
+  CborWriter writer;
+  writer.number(Field::Version, aRequest.version);
+  writer.number(Field::Revision, aRequest.revision);
+  return writer.bytes();
+}
+
+Result<FeedRequest>
+decodeFeedRequest(const QByteArray& aBytes)
+{
+  CborReader reader(aBytes);
+  FeedRequest request;
+  request.version = reader.number(Field::Version);
+  request.revision = reader.number(Field::Revision);
+  if (reader.error()) {
+    return reader.error();
+  }
+  return request;
+}
+
+QByteArray
+encode(const Feed& aFeed)
+{
+  QCborArray sections;
+  for (const auto& [name, text] : aFeed.sections) {
+    CborWriter writer;
+    sections.append(writer.text(Field::Section, name).text(Field::Text, text).map());
+  }
+  QCborArray vms;
+  for (const auto& it : aFeed.vms) {
+    vms.append(toMap(it));
+  }
+  QCborArray suspects;
+  for (const auto& it : aFeed.suspects) {
+    suspects.append(toMap(it));
+  }
+  CborWriter writer;
+  writer.number(Field::Version, aFeed.version);
+  writer.text(Field::Preset, aFeed.preset);
+  writer.put(Field::Sections, sections);
+  writer.number(Field::Revision, aFeed.revision);
+  writer.put(Field::Vms, vms);
+  writer.put(Field::Suspects, suspects);
+  return writer.bytes();
+}
+
+Result<Feed>
+decodeFeed(const QByteArray& aBytes)
+{
+  CborReader reader(aBytes);
+  Feed feed;
+  feed.version = reader.number(Field::Version);
+  feed.preset = reader.text(Field::Preset);
+  feed.revision = reader.number(Field::Revision);
+  for (const auto& it : reader.array(Field::Sections)) {
+    CborReader section(it);
+    feed.sections[section.text(Field::Section)] = section.text(Field::Text);
+    if (section.error()) {
+      return section.error();
+    }
+  }
+  for (const auto& it : reader.array(Field::Vms)) {
+    BOOST_OUTCOME_TRY(vm, toVm(it));
+    feed.vms.push_back(std::move(vm));
+  }
+  for (const auto& it : reader.array(Field::Suspects)) {
+    BOOST_OUTCOME_TRY(suspect, toSuspect(CborReader(it)));
+    feed.suspects.push_back(suspect);
+  }
+  if (reader.error()) {
+    return reader.error();
+  }
+  return feed;
+}
+
+QByteArray
+encode(const Suspect& aSuspect)
+{
+  return toMap(aSuspect).toCborValue().toCbor();
+}
+
+Result<Suspect>
+decodeSuspect(const QByteArray& aBytes)
+{
+  return toSuspect(CborReader(aBytes));
+}
+
+} // namespace masticwall
--- /dev/null
+++ b/libs/messages/src/Field.h
@@ -0,0 +1,50 @@
+#pragma once
+
+namespace masticwall {
+
+/** The number of each field in the CBOR maps of the system's messages. Never reused. */
+enum class Field : int
+{
+  Vm = 1,
+  Incarnation = 2,
+  Sequence = 3,
+  Key = 4,
+  Request = 5,
+  MadeAtMs = 6,
+  Claims = 7,
+  Releases = 8,
+  Standing = 9,
+  Holder = 10,
+  Claim = 11,
+  Id = 12,
+  Operation = 13,
+  Preset = 14,
+  Section = 15,
+  Base = 16,
+  Version = 17,
+  Text = 18,
+  Sections = 19,
+  InForce = 20,
+  SwitchVersion = 21,
+  Revision = 22,
+  Vms = 23,
+  State = 24,
+  Status = 25,
+  Headers = 26,
+  Body = 27,
+  Name = 28,
+  Role = 29,
+  Region = 30,
+  DataCentre = 31,
+  Service = 32,
+  Host = 33,
+  Port = 34,
+  ControlPort = 35,
+  OperatorPort = 36,
+  Instance = 37,
+  Leaving = 38,
+  Deaths = 39,
+  Suspects = 40,
+};
+
+} // namespace masticwall
--- /dev/null
+++ b/libs/peer/src/PeerClient.cpp
@@ -0,0 +1,210 @@
+#include "Http2Session.h"
+#include <map>
+#include <peer/PeerClient.h>
+#include <peer/PeerError.h>
+#include <vector>
+
+namespace masticwall {
+
+struct PeerClient::Impl : std::enable_shared_from_this<PeerClient::Impl>
+{
+  /** A request that has no reply yet. */
+  struct Pending
+  {
+    std::string path;
+    QByteArray body;
+    Callback done;
+    TimerSubscription timeout;
+    std::int32_t stream = 0; ///< 0: waits for the connection
+  };
+
+  Impl(TimerService& aTimers, QHostAddress aHost, std::uint16_t aPort, PeerTimes aTimes)
+    : timers(aTimers)
+    , host(std::move(aHost))
+    , port(aPort)
+    , times(aTimes)
+  {
+  }
+
+  TimerService& timers;
+  QHostAddress host;
+  std::uint16_t port;
+  PeerTimes times;
+  std::map<std::uint64_t, Pending> pending;
+  std::uint64_t nextRequest = 1;
+  std::shared_ptr<Http2Session> session;
+  QTcpSocket* connecting = nullptr; ///< owned until it is connected
+  TimerSubscription connectTimeout;
+
+  ~Impl() { dropConnecting(); }
+
+  void dropConnecting()
+  {
+    if (connecting != nullptr) {
+      connecting->disconnect();
+      connecting->abort();
+      connecting->deleteLater();
+      connecting = nullptr;
+    }
+    connectTimeout.cancel();
+  }
+
+  void add(Pending aRequest, Duration aTimeout)
+  {
+    const auto id = nextRequest++;
+    const std::weak_ptr<Impl> weak = weak_from_this();
+    aRequest.timeout = timers.subscribeIn(aTimeout, [weak, id] {
+      if (const auto self = weak.lock()) {
+        self->expire(id);
+      }
+    });
+    pending.emplace(id, std::move(aRequest));
+    if (session != nullptr) {
+      submitWaiting();
+    } else if (connecting == nullptr) {
+      connectNow();
+    }
+  }
+
+  void expire(std::uint64_t aId)
+  {
+    const auto it = pending.find(aId);
+    if (it != pending.end() && it->second.stream > 0 && session != nullptr) {
+      session->resetStream(it->second.stream);
+    }
+    finish(aId, PeerError::Timeout);
+  }
+
+  void connectNow()
+  {
+    connecting = new QTcpSocket;
+    const std::weak_ptr<Impl> weak = weak_from_this();
+    QObject::connect(connecting, &QTcpSocket::connected, connecting, [weak] {
+      if (const auto self = weak.lock()) {
+        self->onConnected();
+      }
+    });
+    const auto fail = [weak] {
+      if (const auto self = weak.lock()) {
+        self->dropConnecting();
+        self->failAll(PeerError::ConnectFailed);
+      }
+    };
+    QObject::connect(connecting, &QTcpSocket::errorOccurred, connecting, fail);
+    connectTimeout = timers.subscribeIn(times.connectTimeout, fail);
+    connecting->connectToHost(host, port);
+  }
+
+  void onConnected()
+  {
+    auto* const socket = std::exchange(connecting, nullptr);
+    connectTimeout.cancel();
+    socket->disconnect();
+    const std::weak_ptr<Impl> weak = weak_from_this();
+    Http2Session::Callbacks callbacks;
+    callbacks.onMessage = [weak](std::int32_t aStream, Http2Message aMessage) {
+      if (const auto self = weak.lock()) {
+        self->onReply(aStream, std::move(aMessage));
+      }
+    };
+    callbacks.onStreamClosed = [weak](std::int32_t aStream) {
+      if (const auto self = weak.lock()) {
+        self->finishStream(aStream, PeerError::Lost);
+      }
+    };
+    callbacks.onLost = [weak](bool aIsSilent) {
+      if (const auto self = weak.lock()) {
+        self->session.reset();
+        self->failAll(aIsSilent ? PeerError::Silent : PeerError::Lost);
+      }
+    };
+    session = std::make_shared<Http2Session>(
+      Http2Side::Client, socket, timers, times, std::move(callbacks));
+    session->start();
+    submitWaiting();
+  }
+
+  void submitWaiting()
+  {
+    for (auto& [id, request] : pending) {
+      if (request.stream == 0 && session != nullptr) {
+        const auto stream = session->submitRequest(request.path, request.body);
+        request.stream = std::max<std::int32_t>(0, stream);
+      }
+    }
+  }
+
+  void onReply(std::int32_t aStream, Http2Message aMessage)
+  {
+    if (aMessage.status != "200") {
+      finishStream(aStream, PeerError::Refused);
+      return;
+    }
+    finishStream(aStream, std::move(aMessage.body));
+  }
+
+  void finishStream(std::int32_t aStream, Result<QByteArray> aResult)
+  {
+    for (const auto& [id, request] : pending) {
+      if (request.stream == aStream) {
+        finish(id, std::move(aResult));
+        return;
+      }
+    }
+  }
+
+  void finish(std::uint64_t aId, Result<QByteArray> aResult)
+  {
+    const auto it = pending.find(aId);
+    if (it == pending.end()) {
+      return;
+    }
+    // From the event loop: the caller may drop this client, or send again.
+    auto done = std::move(it->second.done);
+    pending.erase(it);
+    auto* const context = new QObject;
+    QMetaObject::invokeMethod(
+      context,
+      [context, done = std::move(done), result = std::move(aResult)] {
+        context->deleteLater();
+        done(result);
+      },
+      Qt::QueuedConnection);
+  }
+
+  void failAll(PeerError aError)
+  {
+    std::vector<std::uint64_t> ids;
+    for (const auto& [id, request] : pending) {
+      ids.push_back(id);
+    }
+    for (const auto id : ids) {
+      finish(id, aError);
+    }
+  }
+};
+
+PeerClient::PeerClient(TimerService& aTimers,
+                       const QHostAddress& aHost,
+                       std::uint16_t aPort,
+                       const PeerTimes& aTimes)
+  : mImpl(std::make_shared<Impl>(aTimers, aHost, aPort, aTimes))
+{
+}
+
+PeerClient::~PeerClient() = default;
+
+void
+PeerClient::request(const std::string& aPath,
+                    QByteArray aBody,
+                    Duration aTimeout,
+                    Callback aDone)
+{
+  Impl::Pending request;
+  request.path = aPath;
+  request.body = std::move(aBody);
+  request.done = std::move(aDone);
+  mImpl->add(std::move(request), aTimeout);
+}
+
+} // namespace masticwall
--- /dev/null
+++ b/libs/platform/include/platform/LogPage.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <platform/LogRecord.h>
+#include <vector>
+
+namespace masticwall {
+
+/** What a read of a stream gave. */
+struct LogPage
+{
+  std::uint64_t first = 0; ///< the oldest offset that the log still keeps
+  std::uint64_t head = 0;  ///< the offset that the next append will get
+  std::vector<LogRecord> records;
+};
+
+} // namespace masticwall
--- /dev/null
+++ b/libs/platform/include/platform/PlatformError.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <core/ErrorEnum.h>
+
+namespace masticwall {
+
+/** Why the platform's service gave no usable answer. */
+enum class PlatformError
+{
+  Unreachable = 1, ///< no answer; an append may have taken effect
+  Refused,         ///< answered with another status than success
+  BadAnswer,       ///< answered with something that is not of the published form
+};
+
+template<>
+struct EnumTable<PlatformError>
+{
+  static constexpr const char* kCategory = "platform";
+  static constexpr std::array<EnumName<PlatformError>, 3> kEntries{ {
+    { PlatformError::Unreachable, "unreachable" },
+    { PlatformError::Refused, "refused" },
+    { PlatformError::BadAnswer, "bad-answer" },
+  } };
+};
+
+} // namespace masticwall
--- /dev/null
+++ b/libs/platform/src/LogClient.cpp
@@ -0,0 +1,113 @@
+#include "PlatformHttp.h"
+#include <QJsonArray>
+#include <QJsonDocument>
+#include <QJsonObject>
+#include <QUrlQuery>
+#include <platform/LogClient.h>
+#include <platform/PlatformError.h>
+
+namespace masticwall {
+
+namespace {
+
+QUrl
+streamUrl(const QUrl& aBase, const std::string& aStream)
+{
+  QUrl url = aBase;
+  url.setPath(QStringLiteral("/streams/") + QString::fromStdString(aStream));
+  return url;
+}
+
+std::uint64_t
+toOffset(const QJsonValue& aValue)
+{
+  return static_cast<std::uint64_t>(aValue.toInteger(0));
+}
+
+Result<std::uint64_t>
+parseAppended(const QByteArray& aText)
+{
+  const auto offset = QJsonDocument::fromJson(aText).object()[QStringLiteral("offset")];
+  if (!offset.isDouble()) {
+    return PlatformError::BadAnswer;
+  }
+  return toOffset(offset);
+}
+
+Result<LogPage>
+parsePage(const QByteArray& aText)
+{
+  const auto object = QJsonDocument::fromJson(aText).object();
+  if (!object[QStringLiteral("head")].isDouble()) {
+    return PlatformError::BadAnswer;
+  }
+  LogPage page;
+  page.first = toOffset(object[QStringLiteral("first")]);
+  page.head = toOffset(object[QStringLiteral("head")]);
+  for (const auto& it : object[QStringLiteral("records")].toArray()) {
+    const auto record = it.toObject();
+    page.records.push_back(
+      { toOffset(record[QStringLiteral("offset")]),
+        QByteArray::fromBase64(record[QStringLiteral("data")].toString().toLatin1()) });
+  }
+  return page;
+}
+
+} // namespace
+
+struct LogClient::Impl
+{
+  QUrl base;
+  PlatformHttp appends;
+  PlatformHttp reads; ///< apart, so that waiting reads hold up no append
+};
+
+LogClient::LogClient(const QUrl& aBase)
+  : mImpl(std::make_unique<Impl>())
+{
+  mImpl->base = aBase;
+}
+
+LogClient::~LogClient() = default;
+
+void
+LogClient::append(const std::string& aStream,
+                  const QByteArray& aData,
+                  Duration aTimeout,
+                  Appended aDone)
+{
+  mImpl->appends.post(streamUrl(mImpl->base, aStream),
+                      aData,
+                      aTimeout,
+                      [done = std::move(aDone)](const Result<QByteArray>& aResult) {
+                        if (aResult.has_error()) {
+                          done(aResult.error());
+                          return;
+                        }
+                        done(parseAppended(aResult.value()));
+                      });
+}
+
+void
+LogClient::read(const std::string& aStream,
+                std::uint64_t aFrom,
+                Duration aWait,
+                Duration aTimeout,
+                Page aDone)
+{
+  auto url = streamUrl(mImpl->base, aStream);
+  QUrlQuery query;
+  query.addQueryItem(QStringLiteral("from"), QString::number(aFrom));
+  query.addQueryItem(QStringLiteral("wait_ms"), QString::number(toMilliseconds(aWait)));
+  url.setQuery(query);
+  mImpl->reads.get(
+    url, aTimeout, [done = std::move(aDone)](const Result<QByteArray>& aResult) {
+      if (aResult.has_error()) {
+        done(aResult.error());
+        return;
+      }
+      done(parsePage(aResult.value()));
+    });
+}
+
+} // namespace masticwall
--- /dev/null
+++ b/libs/platform/src/PlatformHttp.cpp
@@ -0,0 +1,80 @@
+#include "PlatformHttp.h"
+#include <QNetworkReply>
+#include <QNetworkRequest>
+#include <platform/PlatformError.h>
+
+namespace masticwall {
+
+namespace {
+
+QNetworkRequest
+plainRequest(const QUrl& aUrl, Duration aTimeout)
+{
+  QNetworkRequest request(aUrl);
+  request.setAttribute(QNetworkRequest::RedirectPolicyAttribute,
+                       QNetworkRequest::ManualRedirectPolicy);
+  request.setAttribute(QNetworkRequest::CookieLoadControlAttribute,
+                       QNetworkRequest::Manual);
+  request.setAttribute(QNetworkRequest::CookieSaveControlAttribute,
+                       QNetworkRequest::Manual);
+  request.setAttribute(QNetworkRequest::AuthenticationReuseAttribute,
+                       QNetworkRequest::Manual);
+  request.setAttribute(QNetworkRequest::CacheLoadControlAttribute,
+                       QNetworkRequest::AlwaysNetwork);
+  request.setAttribute(QNetworkRequest::Http2AllowedAttribute, false);
+  request.setRawHeader("Accept-Encoding", "identity");
+  request.setTransferTimeout(static_cast<int>(toMilliseconds(aTimeout)));
+  return request;
+}
+
+Result<QByteArray>
+resultOf(QNetworkReply& aReply)
+{
+  const auto status = aReply.attribute(QNetworkRequest::HttpStatusCodeAttribute);
+  if (!status.isValid()) {
+    return PlatformError::Unreachable;
+  }
+  if (status.toInt() != 200) {
+    return PlatformError::Refused;
+  }
+  if (aReply.error() != QNetworkReply::NoError) {
+    return PlatformError::Unreachable;
+  }
+  return aReply.readAll();
+}
+
+} // namespace
+
+void
+PlatformHttp::get(const QUrl& aUrl, Duration aTimeout, Done aDone)
+{
+  watch(mNetwork.get(plainRequest(aUrl, aTimeout)), std::move(aDone));
+}
+
+void
+PlatformHttp::post(const QUrl& aUrl,
+                   const QByteArray& aBody,
+                   Duration aTimeout,
+                   Done aDone)
+{
+  auto request = plainRequest(aUrl, aTimeout);
+  request.setHeader(QNetworkRequest::ContentTypeHeader,
+                    QByteArrayLiteral("application/octet-stream"));
+  watch(mNetwork.post(request, aBody), std::move(aDone));
+}
+
+void
+PlatformHttp::watch(QNetworkReply* aReply, Done aDone)
+{
+  QObject::connect(
+    aReply, &QNetworkReply::finished, aReply, [this, aReply, done = std::move(aDone)] {
+      aReply->deleteLater();
+      const auto result = resultOf(*aReply);
+      if (result.has_error() && result.error() == PlatformError::Unreachable) {
+        mNetwork.clearConnectionCache();
+      }
+      done(result);
+    });
+}
+
+} // namespace masticwall
--- /dev/null
+++ b/libs/runtime/include/runtime/SignalWatcher.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <QSocketNotifier>
+#include <core/Result.h>
+#include <functional>
+#include <memory>
+
+namespace masticwall {
+
+/**
+ * Turns SIGTERM and SIGINT into calls on the event loop of the thread that made it. One
+ * for each process.
+ */
+class SignalWatcher
+{
+public:
+  /** Fails with the system's error if no pipe can be made. */
+  static Result<std::unique_ptr<SignalWatcher>> create(std::function<void()> aOnStop);
+  ~SignalWatcher();
+
+private:
+  SignalWatcher(int aReadFd, std::function<void()> aOnStop);
+
+  int mReadFd;
+  QSocketNotifier mNotifier;
+};
+
+} // namespace masticwall
--- /dev/null
+++ b/libs/runtime/src/SignalWatcher.cpp
@@ -0,0 +1,55 @@
+#include <cerrno>
+#include <csignal>
+#include <fcntl.h>
+#include <runtime/SignalWatcher.h>
+#include <unistd.h>
+
+namespace masticwall {
+
+namespace {
+
+int sWriteFd = -1;
+
+void
+onSignal(int /*aSignal*/)
+{
+  const char byte = 1;
+  [[maybe_unused]] const auto n = write(sWriteFd, &byte, 1);
+}
+
+} // namespace
+
+Result<std::unique_ptr<SignalWatcher>>
+SignalWatcher::create(std::function<void()> aOnStop)
+{
+  int fds[2] = { -1, -1 };
+  if (pipe2(fds, O_CLOEXEC | O_NONBLOCK) != 0) {
+    return std::error_code(errno, std::generic_category());
+  }
+  sWriteFd = fds[1];
+  struct sigaction action = {};
+  action.sa_handler = onSignal;
+  sigaction(SIGTERM, &action, nullptr);
+  sigaction(SIGINT, &action, nullptr);
+  return std::unique_ptr<SignalWatcher>(new SignalWatcher(fds[0], std::move(aOnStop)));
+}
+
+SignalWatcher::SignalWatcher(int aReadFd, std::function<void()> aOnStop)
+  : mReadFd(aReadFd)
+  , mNotifier(aReadFd, QSocketNotifier::Read)
+{
+  QObject::connect(
+    &mNotifier, &QSocketNotifier::activated, &mNotifier, [aReadFd, aOnStop] {
+      char byte = 0;
+      while (read(aReadFd, &byte, 1) == 1) {
+        aOnStop();
+      }
+    });
+}
+
+SignalWatcher::~SignalWatcher()
+{
+  close(mReadFd);
+}
+
+} // namespace masticwall
--- /dev/null
+++ b/libs/runtime/src/TimerService.cpp
@@ -0,0 +1,71 @@
+#include <runtime/TimerService.h>
+
+namespace masticwall {
+
+TimerService::TimerService()
+{
+  mTimer.setSingleShot(true);
+  mTimer.setTimerType(Qt::PreciseTimer);
+  QObject::connect(&mTimer, &QTimer::timeout, &mTimer, [this] { runDue(); });
+}
+
+TimerSubscription
+TimerService::subscribe(Instant aDue, Callback aCallback)
+{
+  return add(aDue, Duration{ 0 }, std::move(aCallback));
+}
+
+TimerSubscription
+TimerService::subscribeEvery(Duration aPeriod, Callback aCallback)
+{
+  return add(now() + aPeriod, aPeriod, std::move(aCallback));
+}
+
+TimerSubscription
+TimerService::add(Instant aDue, Duration aPeriod, Callback aCallback)
+{
+  auto shared = std::make_shared<Callback>(std::move(aCallback));
+  const auto it = mEntries.emplace(aDue, Entry{ shared, aPeriod });
+  if (it == mEntries.begin()) {
+    arm();
+  }
+  return TimerSubscription(std::move(shared));
+}
+
+void
+TimerService::runDue()
+{
+  const auto time = now();
+  while (!mEntries.empty() && mEntries.begin()->first <= time) {
+    const auto entry = mEntries.begin()->second;
+    mEntries.erase(mEntries.begin());
+    if (*entry.callback == nullptr) {
+      continue;
+    }
+    if (entry.period > Duration{ 0 }) {
+      mEntries.emplace(time + entry.period, entry);
+    }
+    // A copy, because the callback may cancel its own subscription.
+    const auto callback = *entry.callback;
+    callback();
+  }
+  arm();
+}
+
+void
+TimerService::arm()
+{
+  // Cancelled entries at the front need no wake-up.
+  while (!mEntries.empty() && *mEntries.begin()->second.callback == nullptr) {
+    mEntries.erase(mEntries.begin());
+  }
+  if (mEntries.empty()) {
+    mTimer.stop();
+    return;
+  }
+  const auto wait =
+    std::chrono::ceil<std::chrono::milliseconds>(mEntries.begin()->first - now());
+  mTimer.start(std::max(wait, std::chrono::milliseconds(0)));
+}
+
+} // namespace masticwall
--- /dev/null
+++ b/libs/settings/include/settings/ControlSettings.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <settings/CommonSettings.h>
+#include <settings/SettingsParse.h>
+
+namespace masticwall {
+
+/** The settings of masticwall-control. */
+struct ControlSettings
+{
+  CommonSettings common;
+  std::uint16_t port = 8083;         ///< for this VM's entry and other control processes
+  std::uint16_t operatorPort = 8084; ///< state dump and metrics
+  std::string logUrl = "http://127.0.0.1:9000";
+  std::string vmListUrl = "http://127.0.0.1:9001";
+  std::int64_t orderWindowMs = 600'000;    ///< how long a claim holds its key
+  std::int64_t logRetentionMs = 3'600'000; ///< how long the log keeps a record
+
+  /** Reads flags and environment variables; reports every wrong one at once. */
+  static SettingsParse<ControlSettings> parse(int aArgc, const char* const* aArgv);
+};
+
+} // namespace masticwall
--- /dev/null
+++ b/libs/settings/include/settings/EntrySettings.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <core/Time.h>
+#include <settings/CommonSettings.h>
+#include <settings/SettingsParse.h>
+
+namespace masticwall {
+
+/** The settings of masticwall-entry. */
+struct EntrySettings
+{
+  CommonSettings common;
+  std::uint16_t port = 8080;         ///< for callers
+  std::uint16_t peerPort = 8081;     ///< for other entry processes
+  std::uint16_t operatorPort = 8082; ///< state dump, metrics, drain
+  std::uint16_t controlPort = 8083;  ///< of this VM's control process
+  int workers = 2;
+  Duration noticePeriod{ 5s };  ///< from SIGTERM to the last accepted connection
+  Duration longestDrain{ 60s }; ///< from SIGTERM to the end at the latest
+
+  /** Reads flags and environment variables; reports every wrong one at once. */
+  static SettingsParse<EntrySettings> parse(int aArgc, const char* const* aArgv);
+};
+
+} // namespace masticwall
--- /dev/null
+++ b/libs/settings/src/EntrySettings.cpp
@@ -0,0 +1,41 @@
+#include "SettingsApp.h"
+#include <settings/EntrySettings.h>
+
+namespace masticwall {
+
+SettingsParse<EntrySettings>
+EntrySettings::parse(int aArgc, const char* const* aArgv)
+{
+  EntrySettings settings;
+  std::int64_t workers = settings.workers;
+  std::int64_t noticeMs = toMilliseconds(settings.noticePeriod);
+  std::int64_t drainMs = toMilliseconds(settings.longestDrain);
+  SettingsApp app("masticwall-entry",
+                  "Takes calls from callers and sends them to upstreams.");
+  app.addCommon(settings.common);
+  app.addPort("port", settings.port, "Port for callers.");
+  app.addPort("peer-port", settings.peerPort, "Port for other entry processes.");
+  app.addPort(
+    "operator-port", settings.operatorPort, "Port for state, metrics and drain.");
+  app.addPort("control-port", settings.controlPort, "Port of this VM's control process.");
+  app.addInteger("workers", workers, 1, 64, "Worker threads.");
+  app.addInteger("notice-ms",
+                 noticeMs,
+                 0,
+                 600'000,
+                 "Milliseconds from SIGTERM to the last accepted connection.");
+  app.addInteger("longest-drain-ms",
+                 drainMs,
+                 1,
+                 3'600'000,
+                 "Milliseconds from SIGTERM to the end at the latest.");
+  if (!app.parse(aArgc, aArgv)) {
+    return { std::nullopt, app.exitCode(), app.output() };
+  }
+  settings.workers = static_cast<int>(workers);
+  settings.noticePeriod = std::chrono::milliseconds(noticeMs);
+  settings.longestDrain = std::chrono::milliseconds(drainMs);
+  return { settings, 0, {} };
+}
+
+} // namespace masticwall
--- /dev/null
+++ b/libs/tables/include/tables/PresetTable.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <core/OrderedMutex.h>
+#include <decide/Preset.h>
+#include <memory>
+
+namespace masticwall {
+
+/** The preset in force, shared by all threads. Thread-safe; lock level Preset. */
+class PresetTable
+{
+public:
+  /** The preset in force; null before the first. */
+  std::shared_ptr<const Preset> current() const
+  {
+    std::scoped_lock lock(mMutex);
+    return mPreset;
+  }
+
+  /** Puts `aPreset` in force if its version is higher; false if it is not. */
+  bool put(std::shared_ptr<const Preset> aPreset)
+  {
+    std::scoped_lock lock(mMutex);
+    if (mPreset != nullptr && aPreset->version <= mPreset->version) {
+      return false;
+    }
+    mPreset = std::move(aPreset);
+    return true;
+  }
+
+private:
+  mutable OrderedMutex mMutex{ LockLevel::Preset };
+  std::shared_ptr<const Preset> mPreset;
+};
+
+} // namespace masticwall
--- /dev/null
+++ b/libs/tables/include/tables/UpstreamTable.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <core/OrderedMutex.h>
+#include <core/Result.h>
+#include <decide/Preset.h>
+#include <decide/TokenBucket.h>
+#include <decide/UpstreamPool.h>
+#include <random>
+#include <unordered_map>
+
+namespace masticwall {
+
+/** What a worker asks of the table when a call is to be sent. */
+struct UpstreamQuery
+{
+  std::string service;
+  Rank rank = Rank::Standard;
+  std::size_t bytes = 0; ///< expected on the link, if another region is taken
+  std::vector<std::string> excluded;
+};
+
+/**
+ * The upstreams of every service, and the byte budget of the link between regions.
+ * Thread-safe; lock level Upstream.
+ */
+class UpstreamTable
+{
+public:
+  UpstreamTable(std::string aRegion, std::uint64_t aSeed);
+
+  /** Takes the list of upstreams and the limits of `aPreset`. */
+  void update(const Preset& aPreset,
+              const std::vector<UpstreamAddress>& aAddresses,
+              Instant aNow);
+
+  /**
+   * Chooses an upstream and counts a call on it: the local region first, then others
+   * within the link's budget. Fails with CallError::NoUpstream.
+   */
+  Result<UpstreamAddress> choose(const UpstreamQuery& aQuery, Instant aNow);
+
+  void finished(const UpstreamAddress& aUpstream,
+                CallEnd aEnd,
+                Duration aLatency,
+                Instant aNow);
+  void reportLoad(const UpstreamAddress& aUpstream, const LoadReport& aLoad);
+  void markLeaving(const UpstreamAddress& aUpstream);
+
+  int totalSlots(const std::string& aService) const;
+  std::vector<UpstreamState> snapshot() const;
+
+private:
+  bool payForLink(const UpstreamQuery& aQuery, Instant aNow);
+
+  mutable OrderedMutex mMutex{ LockLevel::Upstream };
+  std::string mRegion;
+  std::mt19937_64 mRandom;
+  std::unordered_map<std::string, UpstreamPool> mPools;
+  ChoicePolicy mChoice = ChoicePolicy::AgedLoad;
+  int mMaxInFlight = 1;
+  LinkBudget mLink;
+  TokenBucket mLinkBucket{ 0, 0 };
+};
+
+} // namespace masticwall
--- /dev/null
+++ b/libs/tables/src/MembershipTable.cpp
@@ -0,0 +1,49 @@
+#include <tables/MembershipTable.h>
+
+namespace masticwall {
+
+bool
+MembershipTable::putList(const VmList& aList)
+{
+  std::scoped_lock lock(mMutex);
+  if (aList == mList) {
+    return false;
+  }
+  mList = aList;
+  ++mRevision;
+  return true;
+}
+
+bool
+MembershipTable::markLeaving(const std::string& aVm, const std::string& aInstance)
+{
+  std::scoped_lock lock(mMutex);
+  auto& known = mLeaving[aVm];
+  if (known == aInstance) {
+    return false;
+  }
+  known = aInstance;
+  ++mRevision;
+  return true;
+}
+
+VmList
+MembershipTable::current() const
+{
+  std::scoped_lock lock(mMutex);
+  auto list = mList;
+  for (auto& it : list) {
+    const auto known = mLeaving.find(it.name);
+    it.leaving = it.leaving || (known != mLeaving.end() && known->second == it.instance);
+  }
+  return list;
+}
+
+std::uint64_t
+MembershipTable::revision() const
+{
+  std::scoped_lock lock(mMutex);
+  return mRevision;
+}
+
+} // namespace masticwall
--- /dev/null
+++ b/libs/tables/src/UpstreamTable.cpp
@@ -0,0 +1,106 @@
+#include <core/CallError.h>
+#include <tables/UpstreamTable.h>
+
+namespace masticwall {
+
+UpstreamTable::UpstreamTable(std::string aRegion, std::uint64_t aSeed)
+  : mRegion(std::move(aRegion))
+  , mRandom(aSeed)
+{
+}
+
+void
+UpstreamTable::update(const Preset& aPreset,
+                      const std::vector<UpstreamAddress>& aAddresses,
+                      Instant aNow)
+{
+  std::scoped_lock lock(mMutex);
+  mChoice = aPreset.limits.choice;
+  mMaxInFlight = aPreset.limits.connectionsPerUpstream;
+  mLink = aPreset.link;
+  mLinkBucket.configure(mLink.bytesPerSecond, mLink.bytesPerSecond);
+  for (const auto& service : aPreset.services) {
+    std::vector<UpstreamAddress> members;
+    for (const auto& it : aAddresses) {
+      if (it.service == service.name) {
+        members.push_back(it);
+      }
+    }
+    mPools[service.name].update(members, service.slots, aNow);
+  }
+}
+
+Result<UpstreamAddress>
+UpstreamTable::choose(const UpstreamQuery& aQuery, Instant aNow)
+{
+  std::scoped_lock lock(mMutex);
+  auto& pool = mPools[aQuery.service];
+  for (const auto& region : pool.regions(mRegion)) {
+    if (region != mRegion && !payForLink(aQuery, aNow)) {
+      continue;
+    }
+    const auto* const chosen =
+      pool.choose(mChoice, region, mMaxInFlight, aQuery.excluded, aNow, mRandom);
+    if (chosen != nullptr) {
+      return chosen->address;
+    }
+    if (region != mRegion) {
+      mLinkBucket.put(static_cast<double>(aQuery.bytes));
+    }
+  }
+  return CallError::NoUpstream;
+}
+
+void
+UpstreamTable::finished(const UpstreamAddress& aUpstream,
+                        CallEnd aEnd,
+                        Duration aLatency,
+                        Instant aNow)
+{
+  std::scoped_lock lock(mMutex);
+  mPools[aUpstream.service].finished(aUpstream.name, aEnd, aLatency, aNow);
+}
+
+void
+UpstreamTable::reportLoad(const UpstreamAddress& aUpstream, const LoadReport& aLoad)
+{
+  std::scoped_lock lock(mMutex);
+  mPools[aUpstream.service].reportLoad(aUpstream.name, aLoad);
+}
+
+void
+UpstreamTable::markLeaving(const UpstreamAddress& aUpstream)
+{
+  std::scoped_lock lock(mMutex);
+  mPools[aUpstream.service].markLeaving(aUpstream.name, aUpstream.instance);
+}
+
+int
+UpstreamTable::totalSlots(const std::string& aService) const
+{
+  std::scoped_lock lock(mMutex);
+  const auto it = mPools.find(aService);
+  return it == mPools.end() ? 0 : it->second.totalSlots();
+}
+
+std::vector<UpstreamState>
+UpstreamTable::snapshot() const
+{
+  std::scoped_lock lock(mMutex);
+  std::vector<UpstreamState> states;
+  for (const auto& [service, pool] : mPools) {
+    const auto members = pool.snapshot();
+    states.insert(states.end(), members.begin(), members.end());
+  }
+  return states;
+}
+
+bool
+UpstreamTable::payForLink(const UpstreamQuery& aQuery, Instant aNow)
+{
+  const bool isUrgent = aQuery.rank == Rank::Urgent;
+  const auto reserve = isUrgent ? 0.0 : mLink.urgentReserve * mLink.bytesPerSecond;
+  return mLinkBucket.take(static_cast<double>(aQuery.bytes), aNow, reserve);
+}
+
+} // namespace masticwall
--- /dev/null
+++ b/libs/telemetry/include/telemetry/CallStatistics.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <QJsonObject>
+#include <core/OrderedMutex.h>
+#include <core/Outcome.h>
+#include <core/Rank.h>
+#include <map>
+#include <string>
+#include <telemetry/LatencySummary.h>
+
+namespace masticwall {
+
+/** Counts and latencies of calls by rank. Thread-safe; lock level Statistics. */
+class CallStatistics
+{
+public:
+  /** A call ended. `aReason` is the error's name, empty for answered calls. */
+  void add(Rank aRank, Outcome aOutcome, const std::string& aReason, Duration aLatency);
+
+  /** Latencies in microseconds, from the call's arrival to its answer. */
+  QJsonObject toJson() const;
+
+  /** The same in the usual text format of metrics. */
+  std::string toMetrics() const;
+
+private:
+  struct PerRank
+  {
+    LatencySummary latency;
+    std::map<std::string, std::uint64_t> counts; ///< by outcome, or outcome:reason
+  };
+
+  mutable OrderedMutex mMutex{ LockLevel::Statistics };
+  std::array<PerRank, kRankCount> mRanks;
+};
+
+} // namespace masticwall
--- /dev/null
+++ b/libs/telemetry/include/telemetry/EventLog.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <initializer_list>
+#include <string>
+#include <telemetry/LogEvent.h>
+#include <telemetry/LogField.h>
+
+namespace masticwall {
+
+/** Starts logging to standard error for `aProcess`. Call once, before threads start. */
+void
+startEventLog(const std::string& aProcess);
+
+/**
+ * Writes one key=value line. Values are quoted where needed and control characters
+ * escaped. Each event is limited to a steady rate; what is left out is counted and
+ * reported by a line of its own. Thread-safe.
+ */
+void
+logEvent(LogEvent aEvent, std::initializer_list<LogField> aFields = {});
+
+/** The value as it stands on a line: quoted and escaped where needed. */
+std::string
+escapeLogValue(std::string_view aValue);
+
+} // namespace masticwall
--- /dev/null
+++ b/libs/telemetry/include/telemetry/LatencySummary.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <core/Time.h>
+#include <memory>
+
+namespace masticwall {
+
+/** Percentiles of a stream of durations, in constant memory. Not thread-safe. */
+class LatencySummary
+{
+public:
+  LatencySummary();
+  ~LatencySummary();
+  LatencySummary(LatencySummary&&) noexcept;
+  LatencySummary& operator=(LatencySummary&&) noexcept;
+
+  void add(Duration aValue);
+  std::uint64_t count() const;
+  Duration median() const;
+  Duration p99() const;
+  Duration p999() const;
+
+private:
+  struct Accumulator;
+  std::unique_ptr<Accumulator> mAccumulator;
+};
+
+} // namespace masticwall
--- /dev/null
+++ b/libs/telemetry/src/CallStatistics.cpp
@@ -0,0 +1,80 @@
+#include <telemetry/CallStatistics.h>
+
+namespace masticwall {
+
+namespace {
+
+double
+toMicroseconds(Duration aDuration)
+{
+  return static_cast<double>(aDuration.count()) / 1000.0;
+}
+
+QString
+toText(std::string_view aText)
+{
+  return QString::fromUtf8(aText.data(), static_cast<qsizetype>(aText.size()));
+}
+
+} // namespace
+
+void
+CallStatistics::add(Rank aRank,
+                    Outcome aOutcome,
+                    const std::string& aReason,
+                    Duration aLatency)
+{
+  std::string label(nameOf(aOutcome));
+  if (!aReason.empty()) {
+    label += ':' + aReason;
+  }
+  std::scoped_lock lock(mMutex);
+  auto& rank = mRanks[indexOf(aRank)];
+  ++rank.counts[label];
+  if (aOutcome == Outcome::Answered) {
+    rank.latency.add(aLatency);
+  }
+}
+
+QJsonObject
+CallStatistics::toJson() const
+{
+  std::scoped_lock lock(mMutex);
+  QJsonObject ranks;
+  for (const auto& it : EnumTable<Rank>::kEntries) {
+    const auto& rank = mRanks[indexOf(it.value)];
+    QJsonObject counts;
+    for (const auto& [label, n] : rank.counts) {
+      counts[toText(label)] = static_cast<qint64>(n);
+    }
+    ranks[toText(it.name)] = QJsonObject{
+      { QStringLiteral("counts"), counts },
+      { QStringLiteral("p50Us"), toMicroseconds(rank.latency.median()) },
+      { QStringLiteral("p99Us"), toMicroseconds(rank.latency.p99()) },
+      { QStringLiteral("p999Us"), toMicroseconds(rank.latency.p999()) },
+    };
+  }
+  return ranks;
+}
+
+std::string
+CallStatistics::toMetrics() const
+{
+  std::scoped_lock lock(mMutex);
+  std::string text = "# TYPE masticwall_calls_total counter\n";
+  for (const auto& it : EnumTable<Rank>::kEntries) {
+    for (const auto& [label, n] : mRanks[indexOf(it.value)].counts) {
+      text += "masticwall_calls_total{rank=\"" + std::string(it.name) + "\",result=\"" +
+              label + "\"} " + std::to_string(n) + "\n";
+    }
+  }
+  text += "# TYPE masticwall_call_p99_microseconds gauge\n";
+  for (const auto& it : EnumTable<Rank>::kEntries) {
+    const auto p99 = mRanks[indexOf(it.value)].latency.p99();
+    text += "masticwall_call_p99_microseconds{rank=\"" + std::string(it.name) + "\"} " +
+            std::to_string(toMicroseconds(p99)) + "\n";
+  }
+  return text;
+}
+
+} // namespace masticwall
