--- /dev/null
+++ b/daemons/masticwall-control.cpp
@@ -0,0 +1,9 @@
+#include "DaemonMain.h"
+#include <control/ControlDaemon.h>
+
+int
+main(int aArgc, char** aArgv)
+{
+  using namespace masticwall;
+  return runDaemon<ControlDaemon, ControlSettings>("masticwall-control", aArgc, aArgv);
+}
--- /dev/null
+++ b/daemons/masticwall-entry.cpp
@@ -0,0 +1,9 @@
+#include "DaemonMain.h"
+#include <entry/EntryDaemon.h>
+
+int
+main(int aArgc, char** aArgv)
+{
+  using namespace masticwall;
+  return runDaemon<EntryDaemon, EntrySettings>("masticwall-entry", aArgc, aArgv);
+}
--- /dev/null
+++ b/libs/control/src/ControlDaemon.cpp
@@ -0,0 +1,330 @@
+#include "ClaimKeeper.h"
+#include "ConfigFollower.h"
+#include "ControlState.h"
+#include "FeedServer.h"
+#include "PeerNotices.h"
+#include "Prober.h"
+#include "VmListFollower.h"
+#include <QObject>
+#include <control/ControlDaemon.h>
+#include <messages/ClaimIdMessage.h>
+#include <messages/ClaimMessage.h>
+#include <messages/ClaimVerdictMessage.h>
+#include <messages/ConfigStateMessage.h>
+#include <messages/LeavingNotice.h>
+#include <messages/Paths.h>
+#include <runtime/WorkerThread.h>
+#include <telemetry/EventLog.h>
+#include <telemetry/OperatorServer.h>
+
+namespace masticwall {
+
+namespace {
+
+constexpr Duration kAskPeersPeriod = std::chrono::seconds(1);
+constexpr Duration kDrainCheckPeriod = std::chrono::milliseconds(100);
+
+/** The entry process asks at least once a second while it lives. */
+constexpr Duration kEntryGoneAfter = std::chrono::seconds(3);
+constexpr Duration kLongestDrain = std::chrono::seconds(120);
+
+/** What runs on the thread that measures. */
+struct Measuring
+{
+  TimerService timers;
+  std::unique_ptr<VmListFollower> vmList;
+  std::unique_ptr<Prober> prober;
+};
+
+} // namespace
+
+struct ControlDaemon::Impl
+{
+  Impl(const ControlSettings& aSettings, Ended aEnded)
+    : tables(aSettings)
+    , feed(timers, tables)
+    , notices(timers, tables)
+    , ended(std::move(aEnded))
+  {
+  }
+
+  ~Impl()
+  {
+    configThread.run([this] { config.reset(); });
+    claimThread.run([this] { claims.reset(); });
+    measureThread.run([this] { measuring.reset(); });
+    configThread.stop();
+    claimThread.stop();
+    measureThread.stop();
+  }
+
+  Result<void> start();
+  Result<void> listen();
+  void startWorkers();
+  void serve(const std::string& aPath,
+             const QByteArray& aBody,
+             const PeerServer::Reply& aReply);
+  void serveClaim(const QByteArray& aBody, const PeerServer::Reply& aReply);
+  void serveRelease(const QByteArray& aBody, const PeerServer::Reply& aReply);
+  void onLeavingNotice(const QByteArray& aBody);
+  void onSuspect(const QByteArray& aBody);
+  void markLeaving(const std::string& aVm, const std::string& aInstance);
+  void askPeers();
+  void postToMain(std::function<void()> aTask);
+  void requestStop();
+  void checkDrained();
+  void end(int aExitCode);
+
+  TimerService timers;
+  QObject context; ///< lives on the main thread
+  ControlTables tables;
+  FeedServer feed;
+  PeerNotices notices;
+  std::unique_ptr<PeerServer> server;
+  std::unique_ptr<OperatorServer> operators;
+  WorkerThread configThread{ QStringLiteral("config") };
+  WorkerThread claimThread{ QStringLiteral("claims") };
+  WorkerThread measureThread{ QStringLiteral("measure") };
+  std::unique_ptr<ConfigFollower> config; ///< on its thread
+  std::unique_ptr<ClaimKeeper> claims;    ///< on its thread
+  std::unique_ptr<Measuring> measuring;   ///< on its thread
+  Ended ended;
+  TimerSubscription askPeersTimer;
+  TimerSubscription drainTimer;
+  TimerSubscription longestDrainTimer;
+};
+
+Result<void>
+ControlDaemon::Impl::start()
+{
+  BOOST_OUTCOME_TRYV(listen());
+  startWorkers();
+  askPeersTimer = timers.subscribeEvery(kAskPeersPeriod, [this] { askPeers(); });
+  const auto& settings = tables.settings;
+  logEvent(LogEvent::Started,
+           { { "vm", settings.common.vm },
+             { "host", settings.common.host },
+             { "port", settings.port } });
+  return success();
+}
+
+Result<void>
+ControlDaemon::Impl::listen()
+{
+  const auto& settings = tables.settings;
+  const QHostAddress host(QString::fromStdString(settings.common.host));
+  BOOST_OUTCOME_TRY(peerServer,
+                    PeerServer::listen(timers,
+                                       host,
+                                       settings.port,
+                                       [this](const std::string& aPath,
+                                              const QByteArray& aBody,
+                                              const PeerServer::Reply& aReply) {
+                                         serve(aPath, aBody, aReply);
+                                       }));
+  server = std::move(peerServer);
+  OperatorPages pages;
+  pages.state = [this] { return dumpState(tables); };
+  pages.metrics = [this] { return dumpMetrics(tables); };
+  pages.isLeaving = [this] { return tables.isLeaving.load(); };
+  pages.drain = [this] {
+    if (!tables.isLeaving) {
+      requestStop();
+    }
+  };
+  BOOST_OUTCOME_TRY(
+    operatorServer,
+    OperatorServer::listen(host, settings.operatorPort, std::move(pages)));
+  operators = std::move(operatorServer);
+  return success();
+}
+
+void
+ControlDaemon::Impl::startWorkers()
+{
+  const auto onChange = [this] { postToMain([this] { feed.onChange(); }); };
+  configThread.run(
+    [this, onChange] { config = std::make_unique<ConfigFollower>(tables, onChange); });
+  claimThread.run([this] { claims = std::make_unique<ClaimKeeper>(tables); });
+  measureThread.run([this, onChange] {
+    measuring = std::make_unique<Measuring>();
+    measuring->vmList =
+      std::make_unique<VmListFollower>(measuring->timers, tables, onChange);
+    measuring->prober =
+      std::make_unique<Prober>(measuring->timers, tables, [this](const Vm& aVm) {
+        postToMain([this, aVm] { markLeaving(aVm.name, aVm.instance); });
+      });
+  });
+}
+
+void
+ControlDaemon::Impl::serve(const std::string& aPath,
+                           const QByteArray& aBody,
+                           const PeerServer::Reply& aReply)
+{
+  if (aPath == paths::kFeed) {
+    const auto have = decodeFeedRequest(aBody);
+    if (have.has_value()) {
+      feed.serve(have.value(), aReply);
+      return;
+    }
+  } else if (aPath == paths::kClaim) {
+    serveClaim(aBody, aReply);
+    return;
+  } else if (aPath == paths::kRelease) {
+    serveRelease(aBody, aReply);
+    return;
+  } else if (aPath == paths::kConfigState) {
+    aReply(encode(tables.config.state()));
+    return;
+  } else if (aPath == paths::kLeaving) {
+    onLeavingNotice(aBody);
+    aReply(QByteArray());
+    return;
+  } else if (aPath == paths::kSuspect) {
+    onSuspect(aBody);
+    aReply(QByteArray());
+    return;
+  }
+  aReply(std::nullopt);
+}
+
+void
+ControlDaemon::Impl::serveClaim(const QByteArray& aBody, const PeerServer::Reply& aReply)
+{
+  const auto claim = decodeClaim(aBody);
+  if (claim.has_error()) {
+    aReply(std::nullopt);
+    return;
+  }
+  claimThread.post([this, claim = claim.value(), aReply] {
+    claims->claim(claim, [this, aReply](const ClaimVerdict& aVerdict) {
+      postToMain([aVerdict, aReply] { aReply(encode(aVerdict)); });
+    });
+  });
+}
+
+void
+ControlDaemon::Impl::serveRelease(const QByteArray& aBody,
+                                  const PeerServer::Reply& aReply)
+{
+  const auto id = decodeClaimId(aBody);
+  if (id.has_error()) {
+    aReply(std::nullopt);
+    return;
+  }
+  claimThread.post([this, id = id.value()] { claims->release(id); });
+  aReply(QByteArray());
+}
+
+void
+ControlDaemon::Impl::onLeavingNotice(const QByteArray& aBody)
+{
+  const auto notice = decodeLeavingNotice(aBody);
+  if (notice.has_value()) {
+    markLeaving(notice.value().vm, notice.value().instance);
+  }
+}
+
+void
+ControlDaemon::Impl::markLeaving(const std::string& aVm, const std::string& aInstance)
+{
+  if (!tables.membership.markLeaving(aVm, aInstance)) {
+    return;
+  }
+  logEvent(LogEvent::VmLeaving, { { "vm", aVm }, { "instance", aInstance } });
+  feed.onChange();
+  // Each VM passes it on once, so that it arrives whichever VM learnt it first.
+  notices.tellAll(paths::kLeaving, encode(LeavingNotice{ aVm, aInstance }));
+}
+
+void
+ControlDaemon::Impl::onSuspect(const QByteArray& aBody)
+{
+  const auto suspect = decodeSuspect(aBody);
+  if (suspect.has_error() || !tables.suspects.merge(suspect.value().request,
+                                                    suspect.value().deaths,
+                                                    timers.now())) {
+    return;
+  }
+  feed.addSuspect(suspect.value());
+  notices.tellAll(paths::kSuspect, aBody);
+}
+
+void
+ControlDaemon::Impl::askPeers()
+{
+  if (tables.isConfigRead && tables.isLogReachable) {
+    return;
+  }
+  notices.askAll(paths::kConfigState, {}, [this](const QByteArray& aReply) {
+    const auto state = decodeConfigState(aReply);
+    if (state.has_value()) {
+      configThread.post([this, state = state.value()] { config->merge(state); });
+    }
+  });
+}
+
+void
+ControlDaemon::Impl::postToMain(std::function<void()> aTask)
+{
+  QMetaObject::invokeMethod(&context, std::move(aTask), Qt::QueuedConnection);
+}
+
+void
+ControlDaemon::Impl::requestStop()
+{
+  if (tables.isLeaving.exchange(true)) {
+    end(0);
+    return;
+  }
+  logEvent(LogEvent::StopRequested);
+  const auto& common = tables.settings.common;
+  markLeaving(common.vm, common.instance);
+  drainTimer = timers.subscribeEvery(kDrainCheckPeriod, [this] { checkDrained(); });
+  longestDrainTimer = timers.subscribeIn(kLongestDrain, [this] { end(0); });
+}
+
+void
+ControlDaemon::Impl::checkDrained()
+{
+  const bool isEntryGone = timers.now() - feed.lastAsked() > kEntryGoneAfter;
+  if (isEntryGone && tables.unsettledClaims == 0) {
+    logEvent(LogEvent::Drained);
+    end(0);
+  }
+}
+
+void
+ControlDaemon::Impl::end(int aExitCode)
+{
+  drainTimer.cancel();
+  longestDrainTimer.cancel();
+  if (ended != nullptr) {
+    logEvent(LogEvent::Stopped, { { "exit_code", aExitCode } });
+    std::exchange(ended, nullptr)(aExitCode);
+  }
+}
+
+Result<std::unique_ptr<ControlDaemon>>
+ControlDaemon::create(const ControlSettings& aSettings, Ended aEnded)
+{
+  auto impl = std::make_unique<Impl>(aSettings, std::move(aEnded));
+  BOOST_OUTCOME_TRYV(impl->start());
+  return std::unique_ptr<ControlDaemon>(new ControlDaemon(std::move(impl)));
+}
+
+ControlDaemon::ControlDaemon(std::unique_ptr<Impl> aImpl)
+  : mImpl(std::move(aImpl))
+{
+}
+
+ControlDaemon::~ControlDaemon() = default;
+
+void
+ControlDaemon::requestStop()
+{
+  mImpl->requestStop();
+}
+
+} // namespace masticwall
--- /dev/null
+++ b/libs/control/src/ControlTables.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <atomic>
+#include <settings/ControlSettings.h>
+#include <settings/SectionsAreValid.h>
+#include <tables/ClaimTable.h>
+#include <tables/ConfigTable.h>
+#include <tables/MembershipTable.h>
+#include <tables/PresetTable.h>
+#include <tables/SuspectTable.h>
+
+namespace masticwall {
+
+/** The tables that the workers of a control process share. */
+struct ControlTables
+{
+  explicit ControlTables(const ControlSettings& aSettings)
+    : settings(aSettings)
+    , claims(aSettings.common.orderWindowMs)
+  {
+  }
+
+  const ControlSettings settings;
+  PresetTable presets;
+  MembershipTable membership;
+  ConfigTable<SectionsAreValid> config{ SectionsAreValid{} };
+  ClaimTable claims;
+  SuspectTable suspects;
+  std::atomic<bool> isLeaving{ false };
+  std::atomic<bool> isConfigRead{ false };   ///< the log's head was reached once
+  std::atomic<bool> areClaimsReady{ false }; ///< the window of claims is known
+  std::atomic<bool> isLogReachable{ false };
+  std::atomic<std::uint64_t> probes{ 0 };  ///< health requests sent so far
+  std::atomic<std::uint64_t> appends{ 0 }; ///< appends sent so far
+  std::atomic<std::size_t> unsettledClaims{ 0 };
+};
+
+} // namespace masticwall
--- /dev/null
+++ b/libs/control/src/FeedServer.cpp
@@ -0,0 +1,85 @@
+#include "FeedServer.h"
+
+namespace masticwall {
+
+namespace {
+
+/** A request without news is answered after so long, which also shows that we live. */
+constexpr Duration kLongestWait = std::chrono::seconds(1);
+
+} // namespace
+
+FeedServer::FeedServer(TimerService& aTimers, ControlTables& aTables)
+  : mTimers(aTimers)
+  , mTables(aTables)
+{
+}
+
+void
+FeedServer::serve(const FeedRequest& aHave, PeerServer::Reply aReply)
+{
+  mLastAsked = mTimers.now();
+  if (hasNews(aHave)) {
+    reply(aHave, aReply);
+    return;
+  }
+  mWaiters.push_back({ aHave, std::move(aReply), {} });
+  const auto it = std::prev(mWaiters.end());
+  it->timeout = mTimers.subscribeIn(kLongestWait, [this, it] {
+    const auto waiter = std::move(*it);
+    mWaiters.erase(it);
+    reply(waiter.have, waiter.reply);
+  });
+}
+
+void
+FeedServer::onChange()
+{
+  for (auto it = mWaiters.begin(); it != mWaiters.end();) {
+    if (!hasNews(it->have)) {
+      ++it;
+      continue;
+    }
+    const auto waiter = std::move(*it);
+    it = mWaiters.erase(it);
+    reply(waiter.have, waiter.reply);
+  }
+}
+
+void
+FeedServer::addSuspect(const Suspect& aSuspect)
+{
+  mSuspects.push_back(aSuspect);
+  onChange();
+}
+
+bool
+FeedServer::hasNews(const FeedRequest& aHave) const
+{
+  const auto preset = mTables.presets.current();
+  const auto version = preset == nullptr ? 0 : preset->version;
+  return version > aHave.version || mTables.membership.revision() != aHave.revision ||
+         !mSuspects.empty();
+}
+
+void
+FeedServer::reply(const FeedRequest& aHave, const PeerServer::Reply& aReply)
+{
+  Feed feed;
+  const auto state = mTables.config.state();
+  const auto preset = mTables.presets.current();
+  feed.version = aHave.version;
+  if (preset != nullptr && preset->version > aHave.version) {
+    feed.version = state.versionInForce();
+    feed.preset = state.inForce;
+    feed.sections = state.sectionsOf(state.inForce);
+  }
+  feed.revision = mTables.membership.revision();
+  if (feed.revision != aHave.revision) {
+    feed.vms = mTables.membership.current();
+  }
+  feed.suspects = std::exchange(mSuspects, {});
+  aReply(encode(feed));
+}
+
+} // namespace masticwall
--- /dev/null
+++ b/libs/control/src/PeerNotices.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "ControlTables.h"
+#include <map>
+#include <peer/PeerClient.h>
+#include <runtime/TimerService.h>
+
+namespace masticwall {
+
+/** Sends notices and questions to the control processes of other VMs. Main thread. */
+class PeerNotices
+{
+public:
+  PeerNotices(TimerService& aTimers, ControlTables& aTables);
+
+  /** Sends to every other VM of masticwall; what is lost is not sent again. */
+  void tellAll(const std::string& aPath, const QByteArray& aBody);
+
+  /** Asks every other VM; calls back for each reply. */
+  void askAll(const std::string& aPath,
+              const QByteArray& aBody,
+              const std::function<void(const QByteArray&)>& aOnReply);
+
+private:
+  struct Client
+  {
+    std::string host;
+    std::uint16_t port = 0;
+    std::unique_ptr<PeerClient> client;
+  };
+
+  PeerClient& clientOf(const Vm& aVm);
+
+  TimerService& mTimers;
+  ControlTables& mTables;
+  std::map<std::string, Client> mClients;
+};
+
+} // namespace masticwall
--- /dev/null
+++ b/libs/control/src/Prober.cpp
@@ -0,0 +1,70 @@
+#include "Prober.h"
+#include <random>
+
+namespace masticwall {
+
+namespace {
+
+constexpr Duration kTick = std::chrono::milliseconds(50);
+constexpr Duration kTimeout = std::chrono::seconds(1);
+
+double
+randomPhase()
+{
+  std::random_device device;
+  return std::uniform_real_distribution<double>(0.0, 1.0)(device);
+}
+
+} // namespace
+
+Prober::Prober(TimerService& aTimers, ControlTables& aTables, OnLeaving aOnLeaving)
+  : mTimers(aTimers)
+  , mTables(aTables)
+  , mOnLeaving(std::move(aOnLeaving))
+  , mPool(aTimers, 1)
+  , mPlan(randomPhase())
+{
+  mTick = mTimers.subscribeEvery(kTick, [this] { probeDue(); });
+}
+
+void
+Prober::probeDue()
+{
+  const auto preset = mTables.presets.current();
+  if (preset == nullptr) {
+    return;
+  }
+  std::map<std::string, Vm> upstreams;
+  std::vector<std::string> names;
+  for (const auto& it : mTables.membership.current()) {
+    if (it.role == VmRole::Upstream && !it.leaving) {
+      names.push_back(it.name);
+      upstreams[it.name] = it;
+    }
+  }
+  for (const auto& it : mPlan.takeDue(names, preset->measuring, mTimers.now())) {
+    probe(upstreams[it]);
+  }
+}
+
+void
+Prober::probe(const Vm& aVm)
+{
+  ++mTables.probes;
+  http::Exchange exchange;
+  exchange.host = QHostAddress(QString::fromStdString(aVm.host));
+  exchange.port = aVm.port;
+  exchange.request.method = "GET";
+  exchange.request.target = "/health";
+  exchange.request.headers.push_back({ "Host", aVm.host });
+  exchange.timeout = kTimeout;
+  exchange.done = [this, aVm](const http::BackResult& aResult) {
+    const auto leaving = http::findHeader(aResult.response.headers, "Upstream-Leaving");
+    if (!aResult.error && leaving == "1") {
+      mOnLeaving(aVm);
+    }
+  };
+  mPool.start(std::move(exchange));
+}
+
+} // namespace masticwall
--- /dev/null
+++ b/libs/control/src/VmListFollower.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "ControlTables.h"
+#include <functional>
+#include <platform/VmListClient.h>
+#include <runtime/TimerService.h>
+
+namespace masticwall {
+
+/** Follows the platform's VM list. Lives on one thread. */
+class VmListFollower
+{
+public:
+  /** `aOnChange` is called, on this thread, after each change of the list. */
+  VmListFollower(TimerService& aTimers,
+                 ControlTables& aTables,
+                 std::function<void()> aOnChange);
+
+private:
+  void fetch();
+  void onList(const Result<QByteArray>& aText);
+  void noteReachable(bool aIsReachable);
+
+  TimerService& mTimers;
+  ControlTables& mTables;
+  std::function<void()> mOnChange;
+  VmListClient mClient;
+  bool mIsReachable = true;
+  TimerSubscription mNext;
+};
+
+} // namespace masticwall
--- a/libs/core/include/core/CallError.h
+++ b/libs/core/include/core/CallError.h
@@ -14,28 +14,31 @@
   KeyReused,
   NotReady,
   Overload,
-  DeadlinePassed,
+  QueueTimeout,   ///< no slot or claim in time; nothing was sent
+  DeadlinePassed, ///< no whole answer in time
   NoUpstream,
   ClaimUnavailable,
   Leaving,
   Suspect,
   UpstreamShed,
   UpstreamFailed,
-  OrderUnsettled,
-  ClaimantGone,
+  OrderNotRun,
+  OrderUnsettled, ///< the order still runs, here or at its claimant
+  ClaimantGone,   ///< the VM that claimed the order is gone or unreachable
 };
 
 template<>
 struct EnumTable<CallError>
 {
   static constexpr const char* kCategory = "call";
-  static constexpr std::array<EnumName<CallError>, 15> kEntries{ {
+  static constexpr std::array<EnumName<CallError>, 17> kEntries{ {
     { CallError::BadRequest, "bad-request" },
     { CallError::NoRoute, "no-route" },
     { CallError::MissingKey, "missing-idempotency-key" },
     { CallError::KeyReused, "idempotency-key-reused" },
     { CallError::NotReady, "not-ready" },
     { CallError::Overload, "overload" },
+    { CallError::QueueTimeout, "queue-timeout" },
     { CallError::DeadlinePassed, "deadline-passed" },
     { CallError::NoUpstream, "no-upstream" },
     { CallError::ClaimUnavailable, "claim-unavailable" },
@@ -43,16 +46,18 @@
     { CallError::Suspect, "suspect-request" },
     { CallError::UpstreamShed, "upstream-shed" },
     { CallError::UpstreamFailed, "upstream-failed" },
+    { CallError::OrderNotRun, "order-not-run" },
     { CallError::OrderUnsettled, "order-unsettled" },
     { CallError::ClaimantGone, "claimant-gone" },
   } };
 };
 
-/** The outcome that a caller may be told with `aError`, when nothing was sent. */
+/** The outcome that goes with `aError`, unless more is known of the call. */
 constexpr Outcome
 outcomeOf(CallError aError)
 {
   switch (aError) {
+    case CallError::DeadlinePassed:
     case CallError::UpstreamFailed:
     case CallError::OrderUnsettled:
     case CallError::ClaimantGone:
--- /dev/null
+++ b/libs/core/include/core/WallClock.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+
+namespace masticwall {
+
+/** The wall clock in milliseconds since 1970. For records that other VMs read. */
+inline std::int64_t
+wallClockMs()
+{
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+}
+
+} // namespace masticwall
--- /dev/null
+++ b/libs/ctl/src/HistoryEntry.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <decide/ConfigRecord.h>
+#include <decide/ConfigVerdict.h>
+
+namespace masticwall {
+
+/** A configuration record and what became of it. */
+struct HistoryEntry
+{
+  std::uint64_t offset = 0;
+  ConfigRecord record;
+  ConfigVerdict verdict = ConfigVerdict::Known;
+};
+
+} // namespace masticwall
--- a/libs/decide/include/decide/Limits.h
+++ b/libs/decide/include/decide/Limits.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <core/Time.h>
 #include <cstddef>
 #include <decide/ChoicePolicy.h>
 
@@ -15,7 +14,6 @@
   std::size_t queueLength = 200;   ///< waiting calls of one rank and service
   double overcommit = 2.0;         ///< in-flight limit over the even share of slots
   double retryBudget = 0.1;        ///< retries as a share of calls
-  Duration orderWindow{ 600s };    ///< how long a key is remembered
   ChoicePolicy choice = ChoicePolicy::AgedLoad;
 };
 
--- a/libs/decide/include/decide/OrderLedger.h
+++ b/libs/decide/include/decide/OrderLedger.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace masticwall {
@@ -16,9 +17,9 @@
  * The orders that one entry process has claimed, with their recorded answers. The
  * answer's type is the front end's own. Not thread-safe.
  *
- * A record moves only forwards: Claiming to Sent or NotRun, Sent to Answered, Unknown
- * or (on an upstream's sign) NotRun. A record that ended as NotRun frees its key, but
- * stays to be found by its claim.
+ * A record moves from Claiming to Sent or NotRun, and from Sent to Answered or Unknown;
+ * only an upstream's sign that it did not run the order takes it back to Claiming. A
+ * record that ended as NotRun frees its key, but stays to be found by its claim.
  */
 template<class Answer>
 class OrderLedger
@@ -74,6 +75,17 @@
     return true;
   }
 
+  /** Sent back to Claiming: the upstream said that it did not run the order. */
+  bool markNotSent(std::uint64_t aSequence)
+  {
+    auto* const record = findClaim(aSequence);
+    if (record == nullptr || record->state != OrderState::Sent) {
+      return false;
+    }
+    record->state = OrderState::Claiming;
+    return true;
+  }
+
   /** Settles an unsettled record; returns the waiters to be told. */
   std::vector<Waiter> settle(std::uint64_t aSequence,
                              OrderState aState,
@@ -91,6 +103,22 @@
     return std::exchange(record->waiters, {});
   }
 
+  /**
+   * Forgets an order that this process does not run and knows no outcome of; returns
+   * the waiters to be told.
+   */
+  std::vector<Waiter> abandon(std::uint64_t aSequence)
+  {
+    auto* const record = findClaim(aSequence);
+    if (record == nullptr) {
+      return {};
+    }
+    auto waiters = std::move(record->waiters);
+    freeKey(*record);
+    mBySequence.erase(aSequence);
+    return waiters;
+  }
+
   /** Forgets settled records begun before `aBefore`. */
   void forget(Instant aBefore)
   {
--- a/libs/decide/include/decide/SuspectList.h
+++ b/libs/decide/include/decide/SuspectList.h
@@ -21,6 +21,8 @@
   /** Takes a peer's count where it is higher; true if that changed anything. */
   bool merge(const Digest& aRequest, int aDeaths, Instant aNow);
 
+  bool isEmpty() const { return mEntries.empty(); }
+
   /** True if the request may not be sent again. */
   bool isStopped(const Digest& aRequest, Instant aNow) const;
 
--- a/libs/decide/include/decide/UpstreamPool.h
+++ b/libs/decide/include/decide/UpstreamPool.h
@@ -56,7 +56,8 @@
   /** The regions that have upstreams, `aLocal` first. */
   std::vector<std::string> regions(std::string_view aLocal) const;
 
-  int totalSlots() const;
+  /** The slots of the upstreams of `aRegion` that stay. */
+  int slotsIn(std::string_view aRegion) const;
   std::vector<UpstreamState> snapshot() const;
 
 private:
--- a/libs/decide/src/UpstreamPool.cpp
+++ b/libs/decide/src/UpstreamPool.cpp
@@ -128,11 +128,11 @@
 }
 
 int
-UpstreamPool::totalSlots() const
+UpstreamPool::slotsIn(std::string_view aRegion) const
 {
   int n = 0;
   for (const auto& it : mStates) {
-    n += it->leaving ? 0 : it->slots;
+    n += it->leaving || it->address.region != aRegion ? 0 : it->slots;
   }
   return n;
 }
--- /dev/null
+++ b/libs/entry/src/CallerIdentity.cpp
@@ -0,0 +1,53 @@
+#include "CallerIdentity.h"
+#include "HeaderNames.h"
+#include <QCryptographicHash>
+#include <algorithm>
+
+namespace masticwall {
+
+namespace {
+
+void
+addPart(QCryptographicHash& aHash, std::string_view aPart)
+{
+  // The length goes first, so that no two lists of parts hash alike.
+  const auto size = QByteArray::number(static_cast<qulonglong>(aPart.size()));
+  aHash.addData(size + ':');
+  aHash.addData(QByteArrayView(aPart.data(), static_cast<qsizetype>(aPart.size())));
+}
+
+Digest
+digestOf(std::initializer_list<std::string_view> aParts)
+{
+  QCryptographicHash hash(QCryptographicHash::Sha256);
+  for (const auto& it : aParts) {
+    addPart(hash, it);
+  }
+  const auto result = hash.result();
+  Digest digest;
+  std::copy_n(result.begin(), digest.bytes.size(), digest.bytes.begin());
+  return digest;
+}
+
+} // namespace
+
+std::string_view
+callerOf(const http::Request& aRequest)
+{
+  return http::findHeader(aRequest.headers, headers::kCaller);
+}
+
+Digest
+keyDigest(const http::Request& aRequest)
+{
+  const auto key = http::findHeader(aRequest.headers, headers::kIdempotencyKey);
+  return digestOf({ callerOf(aRequest), key });
+}
+
+Digest
+requestDigest(const http::Request& aRequest)
+{
+  return digestOf({ aRequest.method, aRequest.target, aRequest.body });
+}
+
+} // namespace masticwall
--- /dev/null
+++ b/libs/entry/src/EntryDaemon.cpp
@@ -0,0 +1,345 @@
+#include "EntryHub.h"
+#include "EntryWorker.h"
+#include "StateDump.h"
+#include <algorithm>
+#include <cmath>
+#include <entry/EntryDaemon.h>
+#include <random>
+#include <runtime/WorkerThread.h>
+#include <settings/PresetFile.h>
+#include <telemetry/EventLog.h>
+#include <telemetry/OperatorServer.h>
+
+namespace masticwall {
+
+namespace {
+
+constexpr Duration kDrainCheckPeriod = std::chrono::milliseconds(50);
+constexpr Duration kForgetPeriod = std::chrono::seconds(5);
+
+/** After the notice period, a connection without a request for so long is closed. */
+constexpr Duration kIdleBeforeClose = std::chrono::milliseconds(500);
+constexpr int kExitCutOff = 3;
+
+std::uint64_t
+makeIncarnation()
+{
+  std::random_device device;
+  const auto value = (std::uint64_t{ device() } << 31U) ^ device();
+  return value >> 1U; // fits the signed integers of the messages' codec
+}
+
+std::vector<UpstreamAddress>
+upstreamsOf(const VmList& aList)
+{
+  std::vector<UpstreamAddress> addresses;
+  for (const auto& it : aList) {
+    if (it.role == VmRole::Upstream) {
+      addresses.push_back(
+        { it.name, it.service, it.region, it.host, it.port, it.instance });
+    }
+  }
+  return addresses;
+}
+
+int
+entriesIn(const VmList& aList, const std::string& aRegion)
+{
+  int n = 0;
+  for (const auto& it : aList) {
+    n += it.role == VmRole::Masticwall && !it.leaving && it.region == aRegion ? 1 : 0;
+  }
+  return std::max(1, n);
+}
+
+} // namespace
+
+struct EntryDaemon::Impl
+{
+  Impl(const EntrySettings& aSettings, Ended aEnded)
+    : tables(aSettings, makeIncarnation())
+    , hub{ tables, context, nullptr, nullptr, {} }
+    , control(timers, tables)
+    , ended(std::move(aEnded))
+  {
+    hub.control = &control;
+    hub.postToWorker = [this](std::uint32_t aWorker,
+                              std::function<void(EntryWorker&)> aTask) {
+      threads[aWorker]->post([this, aWorker, task = std::move(aTask)] {
+        // Gone already if the process is about to end.
+        if (workers[aWorker] != nullptr) {
+          task(*workers[aWorker]);
+        }
+      });
+    };
+  }
+
+  ~Impl()
+  {
+    for (std::size_t i = 0; i < threads.size(); ++i) {
+      threads[i]->run([this, i] { workers[i].reset(); });
+      threads[i]->stop();
+    }
+  }
+
+  Result<void> start();
+  Result<void> startWorkers();
+  Result<void> startOperators();
+  void onFeed(const Feed& aFeed);
+  void putPreset(const Feed& aFeed);
+  void applyTables();
+  bool isListedAsLeaving() const;
+  void requestStop();
+  void stopAccepting();
+  void checkDrained();
+  void end(int aExitCode);
+  void onEachWorker(const std::function<void(EntryWorker&)>& aTask);
+
+  TimerService timers;
+  QObject context;
+  EntryTables tables;
+  EntryHub hub;
+  ControlLink control;
+  std::unique_ptr<PeerOrders> peers;
+  std::unique_ptr<OperatorServer> operators;
+  std::vector<std::unique_ptr<WorkerThread>> threads;
+  std::vector<std::unique_ptr<EntryWorker>> workers;
+  Ended ended;
+  TimerSubscription forgetTimer;
+  TimerSubscription noticeTimer;
+  TimerSubscription drainTimer;
+  TimerSubscription longestDrainTimer;
+  bool isAccepting = true;
+};
+
+Result<void>
+EntryDaemon::Impl::start()
+{
+  BOOST_OUTCOME_TRY(orders, PeerOrders::create(timers, tables));
+  peers = std::move(orders);
+  hub.peers = peers.get();
+  BOOST_OUTCOME_TRYV(startWorkers());
+  BOOST_OUTCOME_TRYV(startOperators());
+  control.start([this](const Feed& aFeed) { onFeed(aFeed); });
+  forgetTimer = timers.subscribeEvery(kForgetPeriod, [this] {
+    const std::chrono::milliseconds window(tables.settings.common.orderWindowMs);
+    tables.orders.forget(timers.now() - window);
+  });
+  const auto& settings = tables.settings;
+  logEvent(LogEvent::Started,
+           { { "vm", settings.common.vm },
+             { "host", settings.common.host },
+             { "port", settings.port },
+             { "workers", settings.workers } });
+  return success();
+}
+
+Result<void>
+EntryDaemon::Impl::startWorkers()
+{
+  const auto n = static_cast<std::size_t>(tables.settings.workers);
+  workers.resize(n);
+  for (std::size_t i = 0; i < n; ++i) {
+    threads.push_back(std::make_unique<WorkerThread>(QStringLiteral("worker-%1").arg(i)));
+  }
+  std::error_code ec;
+  for (std::size_t i = 0; i < n; ++i) {
+    threads[i]->run([this, i, &ec] {
+      auto worker = EntryWorker::create(hub, static_cast<std::uint32_t>(i));
+      if (worker.has_error()) {
+        ec = worker.error();
+        return;
+      }
+      workers[i] = std::move(worker.value());
+    });
+  }
+  if (ec) {
+    return ec;
+  }
+  return success();
+}
+
+Result<void>
+EntryDaemon::Impl::startOperators()
+{
+  OperatorPages pages;
+  pages.state = [this] { return dumpState(tables, control.isConnected(), workers); };
+  pages.metrics = [this] { return tables.statistics.toMetrics(); };
+  pages.isLeaving = [this] { return tables.isLeaving.load(); };
+  pages.drain = [this] {
+    if (!tables.isLeaving) {
+      requestStop();
+    }
+  };
+  const auto& settings = tables.settings;
+  BOOST_OUTCOME_TRY(
+    server,
+    OperatorServer::listen(QHostAddress(QString::fromStdString(settings.common.host)),
+                           settings.operatorPort,
+                           std::move(pages)));
+  operators = std::move(server);
+  return success();
+}
+
+void
+EntryDaemon::Impl::onFeed(const Feed& aFeed)
+{
+  if (!aFeed.vms.empty()) {
+    tables.membership.putList(aFeed.vms);
+  }
+  if (!aFeed.sections.empty()) {
+    putPreset(aFeed);
+  }
+  for (const auto& it : aFeed.suspects) {
+    tables.suspects.merge(it.request, it.deaths, timers.now());
+  }
+  applyTables();
+  if (isListedAsLeaving() && !tables.isLeaving) {
+    requestStop();
+  }
+}
+
+bool
+EntryDaemon::Impl::isListedAsLeaving() const
+{
+  const auto& common = tables.settings.common;
+  const auto list = tables.membership.current();
+  return std::any_of(list.begin(), list.end(), [&](const Vm& aVm) {
+    return aVm.name == common.vm && aVm.instance == common.instance && aVm.leaving;
+  });
+}
+
+void
+EntryDaemon::Impl::putPreset(const Feed& aFeed)
+{
+  auto parse = parseSections(aFeed.sections);
+  if (!parse.isValid()) {
+    logEvent(LogEvent::PresetInvalid, { { "preset", aFeed.preset } });
+    return;
+  }
+  auto preset = std::make_shared<Preset>(std::move(parse.preset));
+  preset->name = aFeed.preset;
+  preset->version = aFeed.version;
+  if (tables.presets.put(preset)) {
+    logEvent(LogEvent::PresetInForce,
+             { { "preset", preset->name }, { "version", preset->version } });
+  }
+}
+
+void
+EntryDaemon::Impl::applyTables()
+{
+  const auto preset = tables.presets.current();
+  if (preset == nullptr) {
+    return;
+  }
+  const auto list = tables.membership.current();
+  const auto& region = tables.settings.common.region;
+  const auto addresses = upstreamsOf(list);
+  tables.upstreams.update(*preset, addresses, timers.now());
+  for (const auto& it : list) {
+    if (it.role == VmRole::Upstream && it.leaving) {
+      tables.upstreams.markLeaving(
+        { it.name, it.service, it.region, it.host, it.port, it.instance });
+    }
+  }
+  const auto entries = entriesIn(list, region);
+  for (const auto& it : preset->services) {
+    const auto share =
+      preset->limits.overcommit * tables.upstreams.slotsIn(it.name, region) / entries;
+    tables.admission.configure(it.name,
+                               preset->ranks,
+                               static_cast<int>(std::ceil(share)),
+                               preset->limits.queueLength);
+  }
+  onEachWorker([](EntryWorker& aWorker) { aWorker.onPreset(); });
+}
+
+void
+EntryDaemon::Impl::requestStop()
+{
+  if (tables.isLeaving.exchange(true)) {
+    stopAccepting();
+    return;
+  }
+  const auto& settings = tables.settings;
+  logEvent(LogEvent::StopRequested,
+           { { "notice_ms", toMilliseconds(settings.noticePeriod) } });
+  control.reportLeaving(settings.common.vm, settings.common.instance);
+  onEachWorker([](EntryWorker& aWorker) { aWorker.beginLeaving(); });
+  noticeTimer = timers.subscribeIn(settings.noticePeriod, [this] { stopAccepting(); });
+  longestDrainTimer =
+    timers.subscribeIn(settings.longestDrain, [this] { end(kExitCutOff); });
+}
+
+void
+EntryDaemon::Impl::stopAccepting()
+{
+  if (!isAccepting) {
+    return;
+  }
+  isAccepting = false;
+  noticeTimer.cancel();
+  for (std::size_t i = 0; i < threads.size(); ++i) {
+    threads[i]->run([this, i] { workers[i]->stopAccepting(); });
+  }
+  drainTimer = timers.subscribeEvery(kDrainCheckPeriod, [this] { checkDrained(); });
+}
+
+void
+EntryDaemon::Impl::checkDrained()
+{
+  bool isDrained = true;
+  for (std::size_t i = 0; i < threads.size(); ++i) {
+    threads[i]->run([this, i, &isDrained] {
+      workers[i]->closeIdle(kIdleBeforeClose);
+      isDrained = isDrained && workers[i]->isDrained();
+    });
+  }
+  if (isDrained) {
+    logEvent(LogEvent::Drained);
+    end(0);
+  }
+}
+
+void
+EntryDaemon::Impl::end(int aExitCode)
+{
+  drainTimer.cancel();
+  longestDrainTimer.cancel();
+  logEvent(LogEvent::Stopped, { { "exit_code", aExitCode } });
+  if (ended != nullptr) {
+    std::exchange(ended, nullptr)(aExitCode);
+  }
+}
+
+void
+EntryDaemon::Impl::onEachWorker(const std::function<void(EntryWorker&)>& aTask)
+{
+  for (std::uint32_t i = 0; i < threads.size(); ++i) {
+    hub.postToWorker(i, aTask);
+  }
+}
+
+Result<std::unique_ptr<EntryDaemon>>
+EntryDaemon::create(const EntrySettings& aSettings, Ended aEnded)
+{
+  auto impl = std::make_unique<Impl>(aSettings, std::move(aEnded));
+  BOOST_OUTCOME_TRYV(impl->start());
+  return std::unique_ptr<EntryDaemon>(new EntryDaemon(std::move(impl)));
+}
+
+EntryDaemon::EntryDaemon(std::unique_ptr<Impl> aImpl)
+  : mImpl(std::move(aImpl))
+{
+}
+
+EntryDaemon::~EntryDaemon() = default;
+
+void
+EntryDaemon::requestStop()
+{
+  mImpl->requestStop();
+}
+
+} // namespace masticwall
--- /dev/null
+++ b/libs/entry/src/EntryTables.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <atomic>
+#include <http/Response.h>
+#include <settings/EntrySettings.h>
+#include <tables/AdmissionTable.h>
+#include <tables/MembershipTable.h>
+#include <tables/OrderTable.h>
+#include <tables/PresetTable.h>
+#include <tables/SuspectTable.h>
+#include <tables/UpstreamTable.h>
+#include <telemetry/CallStatistics.h>
+
+namespace masticwall {
+
+/** The tables that the workers of an entry process share. */
+struct EntryTables
+{
+  EntryTables(const EntrySettings& aSettings, std::uint64_t aIncarnation)
+    : settings(aSettings)
+    , incarnation(aIncarnation)
+    , upstreams(aSettings.common.region, aIncarnation)
+  {
+  }
+
+  const EntrySettings settings;
+  const std::uint64_t incarnation; ///< of this process; names its claims
+  PresetTable presets;
+  MembershipTable membership;
+  AdmissionTable admission;
+  UpstreamTable upstreams;
+  OrderTable<http::Response> orders;
+  SuspectTable suspects;
+  CallStatistics statistics;
+  std::atomic<std::uint64_t> nextClaim{ 1 };
+  std::atomic<bool> isLeaving{ false };
+};
+
+using OrderView = OrderTable<http::Response>::View;
+
+} // namespace masticwall
--- /dev/null
+++ b/libs/entry/src/EntryWorkerSending.cpp
@@ -0,0 +1,225 @@
+#include "CallerIdentity.h"
+#include "EntryWorker.h"
+#include "HeaderNames.h"
+#include "UpstreamSigns.h"
+#include <http/BackError.h>
+#include <http/ConnectProbe.h>
+#include <telemetry/EventLog.h>
+
+// The part of EntryWorker that sends calls to upstreams.
+namespace masticwall {
+
+namespace {
+
+constexpr int kMostAttempts = 3;
+
+/** How long an order's outcome is awaited after its caller's deadline. */
+constexpr Duration kSettleTime = std::chrono::seconds(30);
+constexpr Duration kProbeTimeout = std::chrono::milliseconds(250);
+
+/** Bytes of a request and its answer on the link, where nothing better is known. */
+constexpr std::size_t kExpectedAnswerBytes = 2048;
+
+} // namespace
+
+void
+EntryWorker::sendIfReady(Call& aCall)
+{
+  if (aCall.holdsSlot && aCall.isGranted && aCall.stage == CallStage::Waiting) {
+    send(aCall);
+  }
+}
+
+void
+EntryWorker::send(Call& aCall)
+{
+  const auto now = mTimers.now();
+  if (now >= aCall.deadline) {
+    endWith(aCall, CallError::QueueTimeout);
+    return;
+  }
+  const auto chosen =
+    mTables.upstreams.choose({ aCall.route->service,
+                               aCall.route->rank,
+                               aCall.request.body.size() + kExpectedAnswerBytes,
+                               aCall.excluded },
+                             now);
+  if (chosen.has_error()) {
+    endWith(aCall, aCall.wasShed ? CallError::UpstreamShed : CallError::NoUpstream);
+    return;
+  }
+  aCall.upstream = chosen.value();
+  aCall.stage = CallStage::Sending;
+  aCall.sentAt = now;
+  ++aCall.attempts;
+  aCall.exchange = mBack.start(makeExchange(aCall));
+}
+
+http::Exchange
+EntryWorker::makeExchange(const Call& aCall)
+{
+  const auto id = aCall.id;
+  const auto left = aCall.deadline - mTimers.now();
+  http::Exchange exchange;
+  exchange.host = QHostAddress(QString::fromStdString(aCall.upstream->host));
+  exchange.port = aCall.upstream->port;
+  exchange.request = aCall.request;
+  http::removeHeader(exchange.request.headers, headers::kDeadline);
+  exchange.request.headers.push_back(
+    { headers::kDeadline, std::to_string(toMilliseconds(left)) });
+  exchange.limits.maxBodyBytes = aCall.preset->limits.maxBodyBytes;
+  exchange.timeout = aCall.isOrder() ? left + kSettleTime : left;
+  exchange.provenOnly = aCall.isOrder();
+  if (aCall.isOrder()) {
+    const auto sequence = aCall.claim.sequence;
+    const auto deadline = aCall.deadline;
+    // The last moment before the first byte leaves: a pause may have come in between.
+    exchange.mayWrite = [this, sequence, deadline] {
+      return mTimers.now() < deadline && mTables.orders.markSent(sequence);
+    };
+  }
+  exchange.done = [this, id](http::BackResult aResult) {
+    onExchange(id, std::move(aResult));
+  };
+  return exchange;
+}
+
+void
+EntryWorker::onExchange(std::uint64_t aCall, http::BackResult aResult)
+{
+  auto* const call = find(aCall);
+  if (call == nullptr) {
+    return;
+  }
+  call->exchange = 0;
+  if (aResult.error) {
+    onFailure(*call, aResult);
+  } else {
+    onAnswer(*call, std::move(aResult.response));
+  }
+}
+
+void
+EntryWorker::onAnswer(Call& aCall, http::Response aResponse)
+{
+  const auto signs = readSigns(aResponse, mTimers.now());
+  const auto& upstream = *aCall.upstream;
+  if (signs.load.has_value()) {
+    mTables.upstreams.reportLoad(upstream, *signs.load);
+  }
+  if (signs.isLeaving) {
+    auto& hub = mHub;
+    mTables.upstreams.markLeaving(upstream);
+    logEvent(LogEvent::UpstreamLeaving,
+             { { "upstream", upstream.name }, { "sign", "answer" } });
+    hub.postToMain([&hub, name = upstream.name, instance = upstream.instance] {
+      hub.control->reportLeaving(name, instance);
+    });
+  }
+  if (signs.isNotRun) {
+    onShed(aCall);
+    return;
+  }
+  endAttempt(aCall, CallEnd::Answered);
+  endWithAnswer(aCall, aResponse);
+}
+
+void
+EntryWorker::onShed(Call& aCall)
+{
+  endAttempt(aCall, CallEnd::Shed);
+  if (aCall.isOrder()) {
+    mTables.orders.markNotSent(aCall.claim.sequence);
+  }
+  const bool isFirst = !aCall.wasShed;
+  aCall.wasShed = true;
+  if (isFirst) {
+    retryOrEnd(aCall, CallError::UpstreamShed);
+  } else {
+    endWith(aCall, CallError::UpstreamShed);
+  }
+}
+
+void
+EntryWorker::onFailure(Call& aCall, const http::BackResult& aResult)
+{
+  const auto& error = aResult.error;
+  if (error == BackError::Withdrawn) {
+    endAttempt(aCall, CallEnd::Cancelled);
+    endWith(aCall, CallError::QueueTimeout);
+    return;
+  }
+  logEvent(LogEvent::UpstreamFailed,
+           { { "upstream", aCall.upstream->name },
+             { "error", error.message() },
+             { "may_have_run", aResult.mayHaveRun ? "yes" : "no" } });
+  const bool isOurLimit = error == BackError::NoConnection;
+  aCall.mayHaveRun = aCall.mayHaveRun || aResult.mayHaveRun;
+  const auto upstream = *aCall.upstream;
+  endAttempt(aCall, isOurLimit ? CallEnd::Cancelled : CallEnd::Failed);
+  if (error == BackError::Closed && aResult.mayHaveRun) {
+    aCall.upstream = upstream;
+    checkDeath(aCall);
+    return;
+  }
+  retryOrEnd(aCall,
+             aResult.mayHaveRun ? CallError::UpstreamFailed : CallError::NoUpstream);
+}
+
+void
+EntryWorker::checkDeath(Call& aCall)
+{
+  if (!aCall.isOrder()) {
+    aCall.fingerprint = requestDigest(aCall.request);
+  }
+  const auto id = aCall.id;
+  const auto upstream = *aCall.upstream;
+  aCall.upstream.reset();
+  const auto onProbed = [this, id, fingerprint = aCall.fingerprint](bool aIsListening) {
+    if (!aIsListening) {
+      const auto deaths = mTables.suspects.noteDeath(fingerprint, mTimers.now());
+      auto& hub = mHub;
+      hub.postToMain([&hub, fingerprint, deaths] {
+        hub.control->reportSuspect({ fingerprint, deaths });
+      });
+    }
+    if (auto* const call = find(id)) {
+      retryOrEnd(*call, CallError::UpstreamFailed);
+    }
+  };
+  http::probeConnect(mTimers,
+                     QHostAddress(QString::fromStdString(upstream.host)),
+                     upstream.port,
+                     kProbeTimeout,
+                     onProbed);
+}
+
+void
+EntryWorker::retryOrEnd(Call& aCall, CallError aError)
+{
+  const bool isSuspect = mTables.suspects.isStopped(aCall.fingerprint, mTimers.now());
+  if (isSuspect) {
+    logEvent(LogEvent::SuspectStopped, { { "service", aCall.route->service } });
+  }
+  const bool isForbidden = (aCall.isOrder() && aCall.mayHaveRun) || isSuspect;
+  const bool isInTime =
+    aCall.stage == CallStage::Sending && mTimers.now() < aCall.deadline;
+  if (isForbidden || !isInTime || aCall.attempts >= kMostAttempts ||
+      !mRetryBudget.take(1.0, mTimers.now())) {
+    endWith(aCall, aError);
+    return;
+  }
+  aCall.stage = CallStage::Waiting;
+  send(aCall);
+}
+
+void
+EntryWorker::endAttempt(Call& aCall, CallEnd aEnd)
+{
+  const auto now = mTimers.now();
+  mTables.upstreams.finished(*aCall.upstream, aEnd, now - aCall.sentAt, now);
+  aCall.excluded.push_back(aCall.upstream->name);
+  aCall.upstream.reset();
+}
+
+} // namespace masticwall
--- /dev/null
+++ b/libs/entry/src/StateDump.cpp
@@ -0,0 +1,75 @@
+#include "StateDump.h"
+#include <QJsonArray>
+
+namespace masticwall {
+
+namespace {
+
+QString
+toText(std::string_view aText)
+{
+  return QString::fromUtf8(aText.data(), static_cast<qsizetype>(aText.size()));
+}
+
+QJsonArray
+dumpUpstreams(const EntryTables& aTables)
+{
+  QJsonArray list;
+  for (const auto& it : aTables.upstreams.snapshot()) {
+    list.append(QJsonObject{
+      { QStringLiteral("name"), toText(it.address.name) },
+      { QStringLiteral("service"), toText(it.address.service) },
+      { QStringLiteral("region"), toText(it.address.region) },
+      { QStringLiteral("inFlight"), it.inFlight },
+      { QStringLiteral("reportedInUse"), it.load.inUse },
+      { QStringLiteral("reportedQueued"), it.load.queued },
+      { QStringLiteral("failuresInARow"), it.failuresInARow },
+      { QStringLiteral("leaving"), it.leaving },
+    });
+  }
+  return list;
+}
+
+QJsonArray
+dumpAdmission(const EntryTables& aTables)
+{
+  QJsonArray list;
+  for (const auto& it : aTables.admission.snapshot()) {
+    QJsonObject waiting;
+    for (const auto& rank : EnumTable<Rank>::kEntries) {
+      waiting[toText(rank.name)] = static_cast<qint64>(it.waiting[indexOf(rank.value)]);
+    }
+    list.append(QJsonObject{ { QStringLiteral("service"), toText(it.service) },
+                             { QStringLiteral("limit"), it.limit },
+                             { QStringLiteral("inFlight"), it.inFlight },
+                             { QStringLiteral("waiting"), waiting } });
+  }
+  return list;
+}
+
+} // namespace
+
+QJsonObject
+dumpState(const EntryTables& aTables,
+          bool aIsControlConnected,
+          const std::vector<std::unique_ptr<EntryWorker>>& aWorkers)
+{
+  const auto preset = aTables.presets.current();
+  return QJsonObject{
+    { QStringLiteral("process"), QStringLiteral("entry") },
+    { QStringLiteral("vm"), toText(aTables.settings.common.vm) },
+    { QStringLiteral("incarnation"), static_cast<qint64>(aTables.incarnation) },
+    { QStringLiteral("leaving"), aTables.isLeaving.load() },
+    { QStringLiteral("controlConnected"), aIsControlConnected },
+    { QStringLiteral("workers"), static_cast<qint64>(aWorkers.size()) },
+    { QStringLiteral("preset"), preset == nullptr ? QString() : toText(preset->name) },
+    { QStringLiteral("version"),
+      preset == nullptr ? 0 : static_cast<qint64>(preset->version) },
+    { QStringLiteral("orders"), static_cast<qint64>(aTables.orders.size()) },
+    { QStringLiteral("upstreams"), dumpUpstreams(aTables) },
+    { QStringLiteral("admission"), dumpAdmission(aTables) },
+    { QStringLiteral("calls"), aTables.statistics.toJson() },
+  };
+}
+
+} // namespace masticwall
--- /dev/null
+++ b/libs/entry/src/UpstreamSigns.cpp
@@ -0,0 +1,39 @@
+#include "UpstreamSigns.h"
+#include "HeaderNames.h"
+#include <charconv>
+
+namespace masticwall {
+
+namespace {
+
+std::optional<int>
+readNumber(const http::Response& aResponse, const char* aName)
+{
+  const auto text = http::findHeader(aResponse.headers, aName);
+  int n = 0;
+  const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), n);
+  if (text.empty() || ec != std::errc() || end != text.data() + text.size() || n < 0) {
+    return std::nullopt;
+  }
+  return n;
+}
+
+} // namespace
+
+UpstreamSigns
+readSigns(const http::Response& aResponse, Instant aNow)
+{
+  constexpr int kServiceUnavailable = 503;
+  UpstreamSigns signs;
+  signs.isNotRun = aResponse.status == kServiceUnavailable &&
+                   http::findHeader(aResponse.headers, headers::kNotRun) == "1";
+  signs.isLeaving = http::findHeader(aResponse.headers, headers::kLeaving) == "1";
+  signs.instance = http::findHeader(aResponse.headers, headers::kInstance);
+  if (const auto inUse = readNumber(aResponse, headers::kInUse)) {
+    signs.load =
+      LoadReport{ *inUse, readNumber(aResponse, headers::kQueued).value_or(0), aNow };
+  }
+  return signs;
+}
+
+} // namespace masticwall
--- a/libs/http/include/http/FrontListener.h
+++ b/libs/http/include/http/FrontListener.h
@@ -40,8 +40,8 @@
   /** Takes what waits in the accept queue and accepts no more. */
   void stopAccepting();
 
-  /** Ends connections that have no request in progress. */
-  void closeIdle();
+  /** Ends connections without a request in progress for at least `aIdleFor`. */
+  void closeIdle(Duration aIdleFor);
 
   std::size_t connectionCount() const;
 
--- a/libs/http/src/FrontConnection.h
+++ b/libs/http/src/FrontConnection.h
@@ -32,6 +32,7 @@
   void checkTimeouts(Instant aNow);
 
   bool isIdle() const { return mPending.empty() && mBytes.isEmpty() && !mIsPartial; }
+  Duration idleFor(Instant aNow) const { return aNow - mIdleSince; }
   void close();
 
 private:
@@ -41,7 +42,6 @@
   void onClosed();
   void readRequests();
   bool mayRead() const;
-  bool hasProtocolEnd() const { return mIsEnding; }
   void begin(Request aRequest);
   void refuse(const std::error_code& aError);
   void flush();
--- a/libs/http/src/FrontListener.cpp
+++ b/libs/http/src/FrontListener.cpp
@@ -139,10 +139,11 @@
 }
 
 void
-FrontListener::closeIdle()
+FrontListener::closeIdle(Duration aIdleFor)
 {
+  const Instant now = std::chrono::steady_clock::now();
   for (const auto& it : mImpl->all()) {
-    if (it->isIdle()) {
+    if (it->isIdle() && it->idleFor(now) >= aIdleFor) {
       it->close();
     }
   }
--- a/libs/messages/src/ConfigRecordMessage.cpp
+++ b/libs/messages/src/ConfigRecordMessage.cpp
@@ -14,6 +14,7 @@
   writer.text(Field::Section, aRecord.key.section);
   writer.number(Field::Base, aRecord.base);
   writer.number(Field::Version, aRecord.version);
+  writer.number(Field::MadeAtMs, static_cast<std::uint64_t>(aRecord.writtenAtMs));
   writer.text(Field::Text, aRecord.text);
   return writer.bytes();
 }
@@ -29,6 +30,7 @@
   record.key.section = reader.text(Field::Section);
   record.base = reader.number(Field::Base);
   record.version = reader.number(Field::Version);
+  record.writtenAtMs = static_cast<std::int64_t>(reader.number(Field::MadeAtMs));
   record.text = reader.text(Field::Text);
   if (reader.error()) {
     return reader.error();
--- a/libs/settings/include/settings/ControlSettings.h
+++ b/libs/settings/include/settings/ControlSettings.h
@@ -13,7 +13,6 @@
   std::uint16_t operatorPort = 8084; ///< state dump and metrics
   std::string logUrl = "http://127.0.0.1:9000";
   std::string vmListUrl = "http://127.0.0.1:9001";
-  std::int64_t orderWindowMs = 600'000;    ///< how long a claim holds its key
   std::int64_t logRetentionMs = 3'600'000; ///< how long the log keeps a record
 
   /** Reads flags and environment variables; reports every wrong one at once. */
--- a/libs/settings/src/ControlSettings.cpp
+++ b/libs/settings/src/ControlSettings.cpp
@@ -15,12 +15,6 @@
   app.addPort("operator-port", settings.operatorPort, "Port for state and metrics.");
   app.addUrl("log-url", settings.logUrl, "The platform's log service.");
   app.addUrl("vm-list-url", settings.vmListUrl, "The platform's VM list.");
-  app.addInteger("order-window-ms",
-                 settings.orderWindowMs,
-                 1000,
-                 kMostMs,
-                 "Milliseconds that an order's key is remembered; the same on every VM, "
-                 "and below the log's retention.");
   app.addInteger("log-retention-ms",
                  settings.logRetentionMs,
                  1000,
--- a/libs/settings/src/PresetFile.cpp
+++ b/libs/settings/src/PresetFile.cpp
@@ -49,7 +49,6 @@
   aLimits.queueLength = size("queue_length", aLimits.queueLength, 100'000);
   aLimits.overcommit = reader.number("overcommit", aLimits.overcommit, 0.1, 100.0);
   aLimits.retryBudget = reader.number("retry_budget", aLimits.retryBudget, 0.0, 1.0);
-  aLimits.orderWindow = reader.milliseconds("order_window_ms", aLimits.orderWindow);
   aLimits.choice = reader.name("choice", aLimits.choice);
   reader.finish();
 }
@@ -61,6 +60,8 @@
     aReader.table("measuring"), aReader.pathOf("measuring"), aProblems);
   aPreset.measuring.probesPerSecond =
     measuring.number("probes_per_second", aPreset.measuring.probesPerSecond, 0.0, 1000.0);
+  aPreset.measuring.vms =
+    static_cast<int>(measuring.integer("vms", aPreset.measuring.vms, 1, 100'000));
   measuring.finish();
   TomlReader link(aReader.table("link"), aReader.pathOf("link"), aProblems);
   aPreset.link.bytesPerSecond =
--- a/libs/settings/src/SettingsApp.cpp
+++ b/libs/settings/src/SettingsApp.cpp
@@ -7,6 +7,8 @@
 
 namespace {
 
+constexpr std::int64_t kMostWindowMs = 30LL * 24 * 3600 * 1000;
+
 std::string
 variableOf(const std::string& aName)
 {
@@ -53,6 +55,12 @@
   addIpNumber("host", aSettings.host, "This VM's IP number, to listen on.");
   addText(
     "instance", aSettings.instance, "Names this start of the VM, as the VM list does.");
+  addInteger("order-window-ms",
+             aSettings.orderWindowMs,
+             1000,
+             kMostWindowMs,
+             "Milliseconds that an order's key is remembered; the same on every VM, and "
+             "below the log's retention.");
 }
 
 void
--- a/libs/tables/include/tables/OrderTable.h
+++ b/libs/tables/include/tables/OrderTable.h
@@ -94,6 +94,12 @@
     return mLedger.markSent(aSequence);
   }
 
+  bool markNotSent(std::uint64_t aSequence)
+  {
+    std::scoped_lock lock(mMutex);
+    return mLedger.markNotSent(aSequence);
+  }
+
   std::vector<Waiter> settle(std::uint64_t aSequence,
                              OrderState aState,
                              std::shared_ptr<const Answer> aAnswer)
@@ -102,6 +108,12 @@
     return mLedger.settle(aSequence, aState, std::move(aAnswer));
   }
 
+  std::vector<Waiter> abandon(std::uint64_t aSequence)
+  {
+    std::scoped_lock lock(mMutex);
+    return mLedger.abandon(aSequence);
+  }
+
   void forget(Instant aBefore)
   {
     std::scoped_lock lock(mMutex);
--- a/libs/tables/include/tables/SuspectTable.h
+++ b/libs/tables/include/tables/SuspectTable.h
@@ -21,6 +21,12 @@
     return mList.merge(aRequest, aDeaths, aNow);
   }
 
+  bool isEmpty() const
+  {
+    std::scoped_lock lock(mMutex);
+    return mList.isEmpty();
+  }
+
   bool isStopped(const Digest& aRequest, Instant aNow) const
   {
     std::scoped_lock lock(mMutex);
--- a/libs/tables/include/tables/UpstreamTable.h
+++ b/libs/tables/include/tables/UpstreamTable.h
@@ -46,7 +46,8 @@
   void reportLoad(const UpstreamAddress& aUpstream, const LoadReport& aLoad);
   void markLeaving(const UpstreamAddress& aUpstream);
 
-  int totalSlots(const std::string& aService) const;
+  /** The slots of a service in a region, without those of leaving upstreams. */
+  int slotsIn(const std::string& aService, const std::string& aRegion) const;
   std::vector<UpstreamState> snapshot() const;
 
 private:
--- a/libs/tables/src/UpstreamTable.cpp
+++ b/libs/tables/src/UpstreamTable.cpp
@@ -76,11 +76,11 @@
 }
 
 int
-UpstreamTable::totalSlots(const std::string& aService) const
+UpstreamTable::slotsIn(const std::string& aService, const std::string& aRegion) const
 {
   std::scoped_lock lock(mMutex);
   const auto it = mPools.find(aService);
-  return it == mPools.end() ? 0 : it->second.totalSlots();
+  return it == mPools.end() ? 0 : it->second.slotsIn(aRegion);
 }
 
 std::vector<UpstreamState>
--- a/libs/telemetry/src/OperatorServer.cpp
+++ b/libs/telemetry/src/OperatorServer.cpp
@@ -39,11 +39,13 @@
   auto& server = impl->server;
   const auto* const pages = &impl->pages;
   server.route(QStringLiteral("/health"), [pages] { return healthAnswer(*pages); });
-  server.route(QStringLiteral("/state"), [pages] { return QHttpServerResponse(pages->state()); });
+  server.route(QStringLiteral("/state"),
+               [pages] { return QHttpServerResponse(pages->state()); });
   server.route(QStringLiteral("/metrics"), [pages] {
     return textAnswer(pages->metrics ? pages->metrics() : std::string());
   });
-  server.route(QStringLiteral("/version"), [] { return textAnswer(MASTICWALL_VERSION "\n"); });
+  server.route(QStringLiteral("/version"),
+               [] { return textAnswer(MASTICWALL_VERSION "\n"); });
   server.route(QStringLiteral("/drain"), QHttpServerRequest::Method::Post, [pages] {
     pages->drain();
     return QHttpServerResponse(QHttpServerResponse::StatusCode::Accepted);
--- /dev/null
+++ b/tests/harness/LedgerFile.cpp
@@ -0,0 +1,48 @@
+#include "LedgerFile.h"
+#include <QFile>
+
+namespace masticwall::test {
+
+LedgerFile
+LedgerFile::read(const QString& aFile)
+{
+  LedgerFile ledger;
+  QFile file(aFile);
+  if (!file.open(QIODevice::ReadOnly)) {
+    return ledger;
+  }
+  for (const auto& line : file.readAll().split('\n')) {
+    if (line == "probe") {
+      ++ledger.probes;
+    } else if (line == "after-leaving") {
+      ++ledger.afterLeaving;
+    } else if (line.startsWith("run ")) {
+      ++ledger.runs;
+      const auto key = line.split(' ').at(1).toStdString();
+      if (!key.empty()) {
+        ++ledger.runsByKey[key];
+      }
+    }
+  }
+  return ledger;
+}
+
+void
+LedgerFile::add(const LedgerFile& aOther)
+{
+  runs += aOther.runs;
+  probes += aOther.probes;
+  afterLeaving += aOther.afterLeaving;
+  for (const auto& [key, n] : aOther.runsByKey) {
+    runsByKey[key] += n;
+  }
+}
+
+int
+LedgerFile::runsOf(const std::string& aKey) const
+{
+  const auto it = runsByKey.find(aKey);
+  return it == runsByKey.end() ? 0 : it->second;
+}
+
+} // namespace masticwall::test
--- /dev/null
+++ b/tests/harness/LedgerFile.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <QString>
+#include <map>
+#include <string>
+
+namespace masticwall::test {
+
+/** What an upstream's ledger says so far. */
+struct LedgerFile
+{
+  std::map<std::string, int> runsByKey; ///< of requests with an idempotency key
+  int runs = 0;
+  int probes = 0;
+  int afterLeaving = 0; ///< requests that came while the upstream was leaving
+
+  static LedgerFile read(const QString& aFile);
+
+  /** Adds another upstream's counts. */
+  void add(const LedgerFile& aOther);
+
+  /** The runs of one key. */
+  int runsOf(const std::string& aKey) const;
+};
+
+} // namespace masticwall::test
--- /dev/null
+++ b/tests/standins/LogMain.cpp
@@ -0,0 +1,22 @@
+#include "AdminServer.h"
+#include "LogService.h"
+#include <QCoreApplication>
+
+using namespace masticwall;
+
+int
+main(int aArgc, char** aArgv)
+{
+  QCoreApplication app(aArgc, aArgv);
+  const standin::Options options(QCoreApplication::arguments());
+  TimerService timers;
+  standin::LogService service(timers, options);
+  const auto listener = standin::listenOrExit(
+    timers,
+    options.host(),
+    options.port(),
+    [&](const http::Request& aRequest, http::ResponderPtr aResponder) {
+      service.handle(aRequest, std::move(aResponder));
+    });
+  return QCoreApplication::exec();
+}
--- /dev/null
+++ b/tests/standins/Upstream.cpp
@@ -0,0 +1,174 @@
+#include "Upstream.h"
+#include "AdminServer.h"
+#include <algorithm>
+#include <cmath>
+#include <cstdlib>
+
+namespace masticwall::standin {
+
+namespace {
+
+/** Shape of the service times: log-normal with a mean of 1. */
+constexpr double kSigma = 0.8;
+constexpr double kColdFactor = 5.0;
+constexpr int kCrashExit = 42;
+
+std::string
+headerOf(const http::Request& aRequest, const char* aName)
+{
+  return std::string(http::findHeader(aRequest.headers, aName));
+}
+
+} // namespace
+
+Upstream::Upstream(TimerService& aTimers, const Options& aOptions)
+  : mTimers(aTimers)
+  , mName(aOptions.text(QStringLiteral("name"), QStringLiteral("upstream")).toStdString())
+  , mInstance(
+      aOptions.text(QStringLiteral("instance"), QStringLiteral("1")).toStdString())
+  , mLedger(aOptions.text(QStringLiteral("ledger")).toStdString())
+  , mRandom(static_cast<std::uint64_t>(aOptions.number(QStringLiteral("seed"), 1)))
+  , mSlots(aOptions.number(QStringLiteral("slots"), 4))
+  , mQueueLimit(aOptions.number(QStringLiteral("queue"), 8))
+  , mServiceMs(
+      aOptions.text(QStringLiteral("service-ms"), QStringLiteral("2")).toDouble())
+  , mColdMs(aOptions.number(QStringLiteral("cold-ms"), 0))
+  , mStartedAt(aTimers.now())
+{
+}
+
+void
+Upstream::handle(const http::Request& aRequest, Done aDone)
+{
+  const auto path = pathOf(aRequest);
+  if (path == QLatin1String("/standin")) {
+    change(aRequest);
+    aDone(okResponse("changed\n"));
+    return;
+  }
+  if (path == QLatin1String("/health")) {
+    mLedger.write("probe");
+    auto response = okResponse("ok\n");
+    if (!mHidesLeaving) {
+      addSigns(response);
+    }
+    aDone(std::move(response));
+    return;
+  }
+  if (mIsLeaving) {
+    mLedger.write("after-leaving");
+  }
+  if (static_cast<int>(mQueue.size()) >= mQueueLimit && mInUse >= mSlots) {
+    aDone(shed());
+    return;
+  }
+  mQueue.push_back({ aRequest, std::move(aDone) });
+  runNext();
+}
+
+void
+Upstream::change(const http::Request& aRequest)
+{
+  const auto query = queryOf(aRequest);
+  for (const auto& [name, value] : query.queryItems()) {
+    if (name == QLatin1String("leaving")) {
+      mIsLeaving = value.toInt() != 0;
+    } else if (name == QLatin1String("hide_leaving")) {
+      mHidesLeaving = value.toInt() != 0;
+    } else if (name == QLatin1String("failing")) {
+      mIsFailing = value.toInt() != 0;
+    } else if (name == QLatin1String("slow_factor")) {
+      mSlowFactor = value.toDouble();
+    } else if (name == QLatin1String("service_ms")) {
+      mServiceMs = value.toDouble();
+    }
+  }
+}
+
+void
+Upstream::runNext()
+{
+  while (mInUse < mSlots && !mQueue.empty()) {
+    const auto waiting = std::move(mQueue.front());
+    mQueue.pop_front();
+    run(waiting);
+  }
+}
+
+void
+Upstream::run(const Waiting& aWaiting)
+{
+  if (mIsFailing) {
+    http::Response response{ 500, {}, "failing\n", true };
+    addSigns(response);
+    aWaiting.done(std::move(response));
+    return;
+  }
+  ++mInUse;
+  mLedger.write("run " + headerOf(aWaiting.request, "Idempotency-Key") + ' ' +
+                aWaiting.request.method + ' ' + aWaiting.request.target);
+  if (headerOf(aWaiting.request, "Test-Behaviour") == "crash") {
+    std::_Exit(kCrashExit);
+  }
+  const auto id = mNextTimer++;
+  mRunning[id] =
+    mTimers.subscribeIn(serviceTime(aWaiting.request),
+                        [this, id, request = aWaiting.request, done = aWaiting.done] {
+                          const auto kept = std::move(mRunning[id]);
+                          mRunning.erase(id);
+                          const auto callback = done;
+                          auto response = answerTo(request);
+                          --mInUse;
+                          addSigns(response);
+                          callback(std::move(response));
+                          runNext();
+                        });
+}
+
+Duration
+Upstream::serviceTime(const http::Request& aRequest)
+{
+  const auto asked = headerOf(aRequest, "Test-Service-Ms");
+  if (!asked.empty()) {
+    return std::chrono::milliseconds(std::atoi(asked.c_str()));
+  }
+  std::lognormal_distribution<double> shape(-kSigma * kSigma / 2.0, kSigma);
+  const bool isCold = mTimers.now() - mStartedAt < std::chrono::milliseconds(mColdMs);
+  const auto factor = mSlowFactor * (isCold ? kColdFactor : 1.0);
+  const std::chrono::duration<double, std::milli> time(mServiceMs * factor *
+                                                       shape(mRandom));
+  return std::chrono::duration_cast<Duration>(time);
+}
+
+http::Response
+Upstream::answerTo(const http::Request& aRequest)
+{
+  // Names the request, so that its caller can tell whether the answer is its own.
+  http::Response response;
+  response.headers.push_back({ "Echo-Id", headerOf(aRequest, "Request-Id") });
+  response.headers.push_back({ "Echo-Upstream", mName });
+  response.body = aRequest.method + ' ' + aRequest.target + '\n' + aRequest.body;
+  return response;
+}
+
+void
+Upstream::addSigns(http::Response& aResponse) const
+{
+  aResponse.headers.push_back({ "Upstream-In-Use", std::to_string(mInUse) });
+  aResponse.headers.push_back({ "Upstream-Queued", std::to_string(mQueue.size()) });
+  aResponse.headers.push_back({ "Upstream-Instance", mInstance });
+  if (mIsLeaving) {
+    aResponse.headers.push_back({ "Upstream-Leaving", "1" });
+  }
+}
+
+http::Response
+Upstream::shed() const
+{
+  http::Response response{ 503, {}, "shed\n", true };
+  response.headers.push_back({ "Upstream-Not-Run", "1" });
+  addSigns(response);
+  return response;
+}
+
+} // namespace masticwall::standin
--- /dev/null
+++ b/tests/standins/Upstream.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "Ledger.h"
+#include "Options.h"
+#include <deque>
+#include <functional>
+#include <http/Request.h>
+#include <http/Response.h>
+#include <random>
+#include <runtime/TimerService.h>
+
+namespace masticwall::standin {
+
+/**
+ * An upstream: slots, a queue, service times with a heavy tail, shedding, draining, cold
+ * start, and a ledger of what ran. Its behaviour is set by flags and changed by
+ * POST /standin?name=value; single requests ask for faults by Test-Behaviour.
+ */
+class Upstream
+{
+public:
+  using Done = std::function<void(http::Response)>;
+
+  Upstream(TimerService& aTimers, const Options& aOptions);
+
+  /** Queues or runs a request; calls back with its answer. */
+  void handle(const http::Request& aRequest, Done aDone);
+
+private:
+  struct Waiting
+  {
+    http::Request request;
+    Done done;
+  };
+
+  void change(const http::Request& aRequest);
+  void runNext();
+  void run(const Waiting& aWaiting);
+  Duration serviceTime(const http::Request& aRequest);
+  http::Response answerTo(const http::Request& aRequest);
+  void addSigns(http::Response& aResponse) const;
+  http::Response shed() const;
+
+  TimerService& mTimers;
+  std::string mName;
+  std::string mInstance;
+  Ledger mLedger;
+  std::mt19937_64 mRandom;
+  int mSlots;
+  int mQueueLimit;
+  double mServiceMs;
+  double mSlowFactor = 1.0;
+  int mColdMs;
+  Instant mStartedAt;
+  bool mIsLeaving = false;
+  bool mIsFailing = false;    ///< answers 500 at once
+  bool mHidesLeaving = false; ///< its health endpoint says that all is well
+  int mInUse = 0;
+  std::deque<Waiting> mQueue;
+  std::uint64_t mNextTimer = 1;
+  std::map<std::uint64_t, TimerSubscription> mRunning;
+};
+
+} // namespace masticwall::standin
--- /dev/null
+++ b/tests/standins/VmListMain.cpp
@@ -0,0 +1,67 @@
+#include "AdminServer.h"
+#include "Options.h"
+#include <QCoreApplication>
+#include <deque>
+
+using namespace masticwall;
+
+namespace {
+
+/** A list and when it was set. */
+struct Version
+{
+  Instant at;
+  std::string text;
+};
+
+/** The platform's VM list: PUT /vms sets it, GET /vms shows it as it was some time ago.
+ */
+class VmListService
+{
+public:
+  VmListService(TimerService& aTimers, int aLagMs)
+    : mTimers(aTimers)
+    , mLag(std::chrono::milliseconds(aLagMs))
+  {
+    mVersions.push_back({ aTimers.now() - mLag, "{\"vms\":[]}" });
+  }
+
+  void handle(const http::Request& aRequest, const http::ResponderPtr& aResponder)
+  {
+    if (aRequest.method == "PUT") {
+      mVersions.push_back({ mTimers.now(), aRequest.body });
+      aResponder->respond(standin::okResponse({}));
+      return;
+    }
+    const auto before = mTimers.now() - mLag;
+    while (mVersions.size() > 1 && mVersions[1].at <= before) {
+      mVersions.pop_front();
+    }
+    aResponder->respond(
+      standin::okResponse(QByteArray::fromStdString(mVersions.front().text)));
+  }
+
+private:
+  TimerService& mTimers;
+  Duration mLag;
+  std::deque<Version> mVersions;
+};
+
+} // namespace
+
+int
+main(int aArgc, char** aArgv)
+{
+  QCoreApplication app(aArgc, aArgv);
+  const standin::Options options(QCoreApplication::arguments());
+  TimerService timers;
+  VmListService service(timers, options.number(QStringLiteral("lag-ms"), 0));
+  const auto listener = standin::listenOrExit(
+    timers,
+    options.host(),
+    options.port(),
+    [&](const http::Request& aRequest, const http::ResponderPtr& aResponder) {
+      service.handle(aRequest, aResponder);
+    });
+  return QCoreApplication::exec();
+}
