--- a/libs/decide/include/decide/Limits.h
+++ b/libs/decide/include/decide/Limits.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <core/Bytes.h>
 #include <cstddef>
 #include <decide/ChoicePolicy.h>
 
@@ -8,8 +9,8 @@
 /** Limits that a preset sets for every entry process. */
 struct Limits
 {
-  std::size_t maxHeaderBytes = 16 * 1024;
-  std::size_t maxBodyBytes = 1024 * 1024;
+  std::size_t maxHeaderBytes = 16 * kKiB;
+  std::size_t maxBodyBytes = kMiB;
   int connectionsPerUpstream = 15; ///< of one entry process, over all its workers
   std::size_t queueLength = 200;   ///< waiting calls of one rank and service
   double overcommit = 2.0;         ///< in-flight limit over the even share of slots
--- a/libs/decide/include/decide/OrderLedger.h
+++ b/libs/decide/include/decide/OrderLedger.h
@@ -25,6 +25,12 @@
 class OrderLedger
 {
 public:
+  /** `aMostAnswerBytes`: recorded answers beyond it are given up, oldest first. */
+  explicit OrderLedger(std::size_t aMostAnswerBytes)
+    : mMostAnswerBytes(aMostAnswerBytes)
+  {
+  }
+
   using Waiter = std::uint64_t;
 
   struct Record
@@ -34,6 +40,7 @@
     Digest request;
     OrderState state = OrderState::Claiming;
     std::shared_ptr<const Answer> answer;
+    std::size_t answerBytes = 0;
     Instant begunAt;
     std::vector<Waiter> waiters; ///< to be told when the record is settled
   };
@@ -60,7 +67,7 @@
     mByKey[aKey] = aClaim.sequence;
     mAges.push_back(aClaim.sequence);
     auto& record = mBySequence[aClaim.sequence];
-    record = { aClaim, aKey, aRequest, OrderState::Claiming, nullptr, aNow, {} };
+    record = { aClaim, aKey, aRequest, OrderState::Claiming, nullptr, 0, aNow, {} };
     return record;
   }
 
@@ -86,21 +93,32 @@
     return true;
   }
 
-  /** Settles an unsettled record; returns the waiters to be told. */
+  /**
+   * Settles an unsettled record; returns the waiters to be told. `aAnswerBytes` is what
+   * the answer holds in memory.
+   */
   std::vector<Waiter> settle(std::uint64_t aSequence,
                              OrderState aState,
-                             std::shared_ptr<const Answer> aAnswer)
+                             std::shared_ptr<const Answer> aAnswer,
+                             std::size_t aAnswerBytes)
   {
     auto* const record = findClaim(aSequence);
     if (record == nullptr || isSettled(record->state)) {
       return {};
     }
     record->state = aState;
-    record->answer = std::move(aAnswer);
     if (aState == OrderState::NotRun) {
       freeKey(*record);
     }
-    return std::exchange(record->waiters, {});
+    auto waiters = std::exchange(record->waiters, {});
+    if (aAnswer != nullptr) {
+      record->answer = std::move(aAnswer);
+      record->answerBytes = aAnswerBytes;
+      mAnswers.push_back(aSequence);
+      mAnswerBytes += aAnswerBytes;
+      giveUpOldAnswers();
+    }
+    return waiters;
   }
 
   /**
@@ -129,6 +147,7 @@
           return;
         }
         freeKey(*record);
+        mAnswerBytes -= record->answerBytes;
         mBySequence.erase(mAges.front());
       }
       mAges.pop_front();
@@ -138,6 +157,21 @@
   std::size_t size() const { return mBySequence.size(); }
 
 private:
+  /** An order whose answer is given up has run, but nobody can tell its answer. */
+  void giveUpOldAnswers()
+  {
+    while (mAnswerBytes > mMostAnswerBytes && !mAnswers.empty()) {
+      auto* const record = findClaim(mAnswers.front());
+      mAnswers.pop_front();
+      if (record != nullptr && record->answer != nullptr) {
+        mAnswerBytes -= record->answerBytes;
+        record->answerBytes = 0;
+        record->answer.reset();
+        record->state = OrderState::Unknown;
+      }
+    }
+  }
+
   void freeKey(const Record& aRecord)
   {
     const auto it = mByKey.find(aRecord.key);
@@ -148,7 +182,10 @@
 
   std::unordered_map<std::uint64_t, Record> mBySequence;
   std::unordered_map<Digest, std::uint64_t> mByKey;
-  std::deque<std::uint64_t> mAges; ///< sequences, oldest first
+  std::deque<std::uint64_t> mAges;    ///< sequences, oldest first
+  std::deque<std::uint64_t> mAnswers; ///< those with an answer, oldest first
+  std::size_t mAnswerBytes = 0;
+  std::size_t mMostAnswerBytes;
 };
 
 } // namespace masticwall
--- a/libs/entry/src/ControlLink.cpp
+++ b/libs/entry/src/ControlLink.cpp
@@ -18,12 +18,11 @@
 
 } // namespace
 
-ControlLink::ControlLink(TimerService& aTimers, EntryTables& aTables)
+ControlLink::ControlLink(TimerService& aTimers, const EntrySettings& aSettings)
   : mTimers(aTimers)
-  , mTables(aTables)
   , mClient(aTimers,
-            QHostAddress(QString::fromStdString(aTables.settings.common.host)),
-            aTables.settings.controlPort)
+            QHostAddress(QString::fromStdString(aSettings.common.host)),
+            aSettings.controlPort)
 {
 }
 
--- a/libs/entry/src/ControlLink.h
+++ b/libs/entry/src/ControlLink.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include "EntryTables.h"
 #include <decide/ClaimVerdict.h>
 #include <functional>
 #include <messages/Feed.h>
 #include <peer/PeerClient.h>
 #include <runtime/TimerService.h>
+#include <settings/EntrySettings.h>
 
 namespace masticwall {
 
@@ -18,7 +18,7 @@
 public:
   using Verdict = std::function<void(const ClaimVerdict&)>;
 
-  ControlLink(TimerService& aTimers, EntryTables& aTables);
+  ControlLink(TimerService& aTimers, const EntrySettings& aSettings);
   ~ControlLink();
 
   /** Follows the feed; `aOnFeed` is called after each change of the tables. */
@@ -45,7 +45,6 @@
   void later(Duration aDelay, std::function<void()> aTask);
 
   TimerService& mTimers;
-  EntryTables& mTables;
   PeerClient mClient;
   std::function<void(const Feed&)> mOnFeed;
   FeedRequest mHave;
--- a/libs/entry/src/EntryDaemon.cpp
+++ b/libs/entry/src/EntryDaemon.cpp
@@ -59,7 +59,7 @@
   Impl(const EntrySettings& aSettings, Ended aEnded)
     : tables(aSettings, makeIncarnation())
     , hub{ tables, context, nullptr, nullptr, {} }
-    , control(timers, tables)
+    , control(timers, tables.settings)
     , ended(std::move(aEnded))
   {
     hub.control = &control;
--- a/libs/entry/src/EntryTables.h
+++ b/libs/entry/src/EntryTables.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <atomic>
+#include <core/Bytes.h>
 #include <http/Response.h>
 #include <settings/EntrySettings.h>
 #include <tables/AdmissionTable.h>
@@ -13,6 +14,9 @@
 
 namespace masticwall {
 
+/** What the recorded answers of orders may hold in memory. */
+inline constexpr std::size_t kMostAnswerBytes = 32 * kMiB;
+
 /** The tables that the workers of an entry process share. */
 struct EntryTables
 {
@@ -29,7 +33,7 @@
   MembershipTable membership;
   AdmissionTable admission;
   UpstreamTable upstreams;
-  OrderTable<http::Response> orders;
+  OrderTable<http::Response> orders{ kMostAnswerBytes };
   SuspectTable suspects;
   CallStatistics statistics;
   std::atomic<std::uint64_t> nextClaim{ 1 };
--- a/libs/entry/src/EntryWorker.cpp
+++ b/libs/entry/src/EntryWorker.cpp
@@ -17,11 +17,14 @@
   auto worker = std::unique_ptr<EntryWorker>(new EntryWorker(aHub, aIndex));
   auto* const raw = worker.get();
   const auto& settings = aHub.tables.settings;
+  http::FrontSettings limits;
+  limits.requestTimeout = settings.requestTimeout;
+  limits.idleTimeout = settings.idleTimeout;
   auto front = http::FrontListener::listen(
     raw->mTimers,
     QHostAddress(QString::fromStdString(settings.common.host)),
     settings.port,
-    http::FrontSettings{},
+    limits,
     [raw](http::Request aRequest, http::ResponderPtr aResponder) {
       raw->onRequest(std::move(aRequest), std::move(aResponder));
     },
--- a/libs/entry/src/EntryWorker.h
+++ b/libs/entry/src/EntryWorker.h
@@ -62,8 +62,8 @@
   void sendIfReady(Call& aCall);
   void send(Call& aCall);
   http::Exchange makeExchange(const Call& aCall);
-  void onExchange(std::uint64_t aCall, http::BackResult aResult);
-  void onAnswer(Call& aCall, http::Response aResponse);
+  void onExchange(std::uint64_t aCall, const http::BackResult& aResult);
+  void onAnswer(Call& aCall, const http::Response& aResponse);
   void onFailure(Call& aCall, const http::BackResult& aResult);
   void onShed(Call& aCall);
   void retryOrEnd(Call& aCall, CallError aError);
--- a/libs/entry/src/EntryWorkerEnding.cpp
+++ b/libs/entry/src/EntryWorkerEnding.cpp
@@ -6,6 +6,25 @@
 // The part of EntryWorker that ends calls and settles orders.
 namespace masticwall {
 
+namespace {
+
+/** What a recorded answer holds in memory, roughly. */
+std::size_t
+bytesOf(const http::Response* aAnswer)
+{
+  constexpr std::size_t kOverhead = 256;
+  if (aAnswer == nullptr) {
+    return 0;
+  }
+  auto n = kOverhead + aAnswer->body.size();
+  for (const auto& it : aAnswer->headers) {
+    n += it.name.size() + it.value.size();
+  }
+  return n;
+}
+
+} // namespace
+
 void
 EntryWorker::onDeadline(std::uint64_t aCall)
 {
@@ -171,9 +190,10 @@
   const auto sequence = aCall.claim.sequence;
   const bool isElsewhere = aCall.stage == CallStage::Watching;
   // What the claimant has not told is not kept: it may tell the next who asks.
-  const auto waiters = isElsewhere && aState == OrderState::Unknown
-                         ? mTables.orders.abandon(sequence)
-                         : mTables.orders.settle(sequence, aState, aAnswer);
+  const auto waiters =
+    isElsewhere && aState == OrderState::Unknown
+      ? mTables.orders.abandon(sequence)
+      : mTables.orders.settle(sequence, aState, aAnswer, bytesOf(aAnswer.get()));
   const OrderView view{ aState, std::move(aAnswer) };
   auto& hub = mHub;
   for (const auto it : waiters) {
--- a/libs/entry/src/EntryWorkerSending.cpp
+++ b/libs/entry/src/EntryWorkerSending.cpp
@@ -45,7 +45,8 @@
                                aCall.excluded },
                              now);
   if (chosen.has_error()) {
-    endWith(aCall, aCall.wasShed ? CallError::UpstreamShed : CallError::NoUpstream);
+    const auto error = aCall.wasShed ? CallError::UpstreamShed : CallError::NoUpstream;
+    endWith(aCall, aCall.mayHaveRun ? CallError::UpstreamFailed : error);
     return;
   }
   aCall.upstream = chosen.value();
@@ -78,14 +79,14 @@
       return mTimers.now() < deadline && mTables.orders.markSent(sequence);
     };
   }
-  exchange.done = [this, id](http::BackResult aResult) {
-    onExchange(id, std::move(aResult));
+  exchange.done = [this, id](const http::BackResult& aResult) {
+    onExchange(id, aResult);
   };
   return exchange;
 }
 
 void
-EntryWorker::onExchange(std::uint64_t aCall, http::BackResult aResult)
+EntryWorker::onExchange(std::uint64_t aCall, const http::BackResult& aResult)
 {
   auto* const call = find(aCall);
   if (call == nullptr) {
@@ -95,12 +96,12 @@
   if (aResult.error) {
     onFailure(*call, aResult);
   } else {
-    onAnswer(*call, std::move(aResult.response));
+    onAnswer(*call, aResult.response);
   }
 }
 
 void
-EntryWorker::onAnswer(Call& aCall, http::Response aResponse)
+EntryWorker::onAnswer(Call& aCall, const http::Response& aResponse)
 {
   const auto signs = readSigns(aResponse, mTimers.now());
   const auto& upstream = *aCall.upstream;
--- a/libs/http/include/http/MessageLimits.h
+++ b/libs/http/include/http/MessageLimits.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <core/Bytes.h>
 #include <cstddef>
 #include <cstdint>
 
@@ -8,8 +9,8 @@
 /** Limits of one message. */
 struct MessageLimits
 {
-  std::uint32_t maxHeaderBytes = 16 * 1024;
-  std::uint64_t maxBodyBytes = 1024 * 1024;
+  std::uint32_t maxHeaderBytes = 16 * kKiB;
+  std::uint64_t maxBodyBytes = kMiB;
 };
 
 } // namespace masticwall::http
--- a/libs/http/src/BackConnection.cpp
+++ b/libs/http/src/BackConnection.cpp
@@ -5,12 +5,12 @@
 namespace masticwall::http {
 
 BackConnection::BackConnection(TimerService& aTimers,
-                               QHostAddress aHost,
+                               const QHostAddress& aHost,
                                std::uint16_t aPort,
                                Observer aObserver)
   : mTimers(aTimers)
   , mSocket(new QTcpSocket)
-  , mHost(std::move(aHost))
+  , mHost(aHost)
   , mPort(aPort)
   , mObserver(std::move(aObserver))
 {
--- a/libs/http/src/BackConnection.h
+++ b/libs/http/src/BackConnection.h
@@ -17,7 +17,7 @@
   using Observer = std::function<void(BackConnection&)>;
 
   BackConnection(TimerService& aTimers,
-                 QHostAddress aHost,
+                 const QHostAddress& aHost,
                  std::uint16_t aPort,
                  Observer aObserver);
   ~BackConnection();
--- a/libs/http/src/FrontConnection.cpp
+++ b/libs/http/src/FrontConnection.cpp
@@ -1,5 +1,6 @@
 #include "FrontConnection.h"
 #include <QHostAddress>
+#include <core/Bytes.h>
 #include <http/HttpError.h>
 #include <http/Serializer.h>
 
@@ -7,8 +8,8 @@
 
 namespace {
 
-constexpr qint64 kReadBufferBytes = 64 * 1024;
-constexpr qint64 kMostUnwrittenBytes = 256 * 1024;
+constexpr qint64 kReadBufferBytes = 64 * kKiB;
+constexpr qint64 kMostUnwrittenBytes = 256 * kKiB;
 constexpr int kLongestTurn = 32; ///< requests begun before the event loop runs again
 
 Instant
--- a/libs/peer/include/peer/PeerServer.h
+++ b/libs/peer/include/peer/PeerServer.h
@@ -18,7 +18,7 @@
 {
 public:
   /** Gives the reply, once, on the server's thread; nothing means "not served". */
-  using Reply = std::function<void(std::optional<QByteArray>)>;
+  using Reply = std::function<void(const std::optional<QByteArray>&)>;
   using Handler = std::function<void(const std::string& aPath, QByteArray aBody, Reply)>;
 
   /** Fails with std::errc::address_in_use if the address can't be listened on. */
--- a/libs/peer/src/Http2Session.cpp
+++ b/libs/peer/src/Http2Session.cpp
@@ -1,5 +1,6 @@
 #include "Http2Session.h"
 #include <algorithm>
+#include <core/Bytes.h>
 #include <cstring>
 
 namespace masticwall {
@@ -7,8 +8,8 @@
 namespace {
 
 constexpr std::uint32_t kMostStreams = 10'000;
-constexpr std::int32_t kWindowBytes = 4 * 1024 * 1024;
-constexpr qsizetype kMostBodyBytes = 16 * 1024 * 1024;
+constexpr std::int32_t kWindowBytes = 4 * kMiB;
+constexpr qsizetype kMostBodyBytes = 16 * kMiB;
 
 nghttp2_nv
 makeField(std::string_view aName, std::string_view aValue)
--- a/libs/peer/src/PeerClient.cpp
+++ b/libs/peer/src/PeerClient.cpp
@@ -18,9 +18,12 @@
     std::int32_t stream = 0; ///< 0: waits for the connection
   };
 
-  Impl(TimerService& aTimers, QHostAddress aHost, std::uint16_t aPort, PeerTimes aTimes)
+  Impl(TimerService& aTimers,
+       const QHostAddress& aHost,
+       std::uint16_t aPort,
+       const PeerTimes& aTimes)
     : timers(aTimers)
-    , host(std::move(aHost))
+    , host(aHost)
     , port(aPort)
     , times(aTimes)
   {
--- a/libs/peer/src/PeerServer.cpp
+++ b/libs/peer/src/PeerServer.cpp
@@ -49,7 +49,7 @@
     const std::weak_ptr<Http2Session> weak = sessions[aSession];
     handler(aMessage.path,
             std::move(aMessage.body),
-            [weak, aStream](std::optional<QByteArray> aReply) {
+            [weak, aStream](const std::optional<QByteArray>& aReply) {
               const auto session = weak.lock();
               if (session == nullptr) {
                 return;
--- a/libs/runtime/include/runtime/SignalWatcher.h
+++ b/libs/runtime/include/runtime/SignalWatcher.h
@@ -15,11 +15,12 @@
 {
 public:
   /** Fails with the system's error if no pipe can be made. */
-  static Result<std::unique_ptr<SignalWatcher>> create(std::function<void()> aOnStop);
+  static Result<std::unique_ptr<SignalWatcher>> create(
+    const std::function<void()>& aOnStop);
   ~SignalWatcher();
 
 private:
-  SignalWatcher(int aReadFd, std::function<void()> aOnStop);
+  SignalWatcher(int aReadFd, const std::function<void()>& aOnStop);
 
   int mReadFd;
   QSocketNotifier mNotifier;
--- a/libs/runtime/src/SignalWatcher.cpp
+++ b/libs/runtime/src/SignalWatcher.cpp
@@ -20,7 +20,7 @@
 } // namespace
 
 Result<std::unique_ptr<SignalWatcher>>
-SignalWatcher::create(std::function<void()> aOnStop)
+SignalWatcher::create(const std::function<void()>& aOnStop)
 {
   int fds[2] = { -1, -1 };
   if (pipe2(fds, O_CLOEXEC | O_NONBLOCK) != 0) {
@@ -31,10 +31,10 @@
   action.sa_handler = onSignal;
   sigaction(SIGTERM, &action, nullptr);
   sigaction(SIGINT, &action, nullptr);
-  return std::unique_ptr<SignalWatcher>(new SignalWatcher(fds[0], std::move(aOnStop)));
+  return std::unique_ptr<SignalWatcher>(new SignalWatcher(fds[0], aOnStop));
 }
 
-SignalWatcher::SignalWatcher(int aReadFd, std::function<void()> aOnStop)
+SignalWatcher::SignalWatcher(int aReadFd, const std::function<void()>& aOnStop)
   : mReadFd(aReadFd)
   , mNotifier(aReadFd, QSocketNotifier::Read)
 {
--- a/libs/settings/include/settings/EntrySettings.h
+++ b/libs/settings/include/settings/EntrySettings.h
@@ -15,8 +15,10 @@
   std::uint16_t operatorPort = 8082; ///< state dump, metrics, drain
   std::uint16_t controlPort = 8083;  ///< of this VM's control process
   int workers = 2;
-  Duration noticePeriod{ 5s };  ///< from SIGTERM to the last accepted connection
-  Duration longestDrain{ 60s }; ///< from SIGTERM to the end at the latest
+  Duration requestTimeout{ 10s }; ///< from a request's first byte to its last
+  Duration idleTimeout{ 60s };    ///< of a caller's connection between requests
+  Duration noticePeriod{ 5s };    ///< from SIGTERM to the last accepted connection
+  Duration longestDrain{ 60s };   ///< from SIGTERM to the end at the latest
 
   /** Reads flags and environment variables; reports every wrong one at once. */
   static SettingsParse<EntrySettings> parse(int aArgc, const char* const* aArgv);
--- a/libs/settings/src/EntrySettings.cpp
+++ b/libs/settings/src/EntrySettings.cpp
@@ -8,6 +8,8 @@
 {
   EntrySettings settings;
   std::int64_t workers = settings.workers;
+  std::int64_t requestMs = toMilliseconds(settings.requestTimeout);
+  std::int64_t idleMs = toMilliseconds(settings.idleTimeout);
   std::int64_t noticeMs = toMilliseconds(settings.noticePeriod);
   std::int64_t drainMs = toMilliseconds(settings.longestDrain);
   SettingsApp app("masticwall-entry",
@@ -19,6 +21,16 @@
     "operator-port", settings.operatorPort, "Port for state, metrics and drain.");
   app.addPort("control-port", settings.controlPort, "Port of this VM's control process.");
   app.addInteger("workers", workers, 1, 64, "Worker threads.");
+  app.addInteger("request-timeout-ms",
+                 requestMs,
+                 1,
+                 600'000,
+                 "Milliseconds from a request's first byte to its last.");
+  app.addInteger("idle-timeout-ms",
+                 idleMs,
+                 1,
+                 3'600'000,
+                 "Milliseconds that a caller's connection may be idle.");
   app.addInteger("notice-ms",
                  noticeMs,
                  0,
@@ -33,6 +45,8 @@
     return { std::nullopt, app.exitCode(), app.output() };
   }
   settings.workers = static_cast<int>(workers);
+  settings.requestTimeout = std::chrono::milliseconds(requestMs);
+  settings.idleTimeout = std::chrono::milliseconds(idleMs);
   settings.noticePeriod = std::chrono::milliseconds(noticeMs);
   settings.longestDrain = std::chrono::milliseconds(drainMs);
   return { settings, 0, {} };
--- a/libs/tables/include/tables/OrderTable.h
+++ b/libs/tables/include/tables/OrderTable.h
@@ -49,6 +49,11 @@
     View view;
   };
 
+  explicit OrderTable(std::size_t aMostAnswerBytes)
+    : mLedger(aMostAnswerBytes)
+  {
+  }
+
   Arrival arrive(const ClaimId& aClaim,
                  const Digest& aKey,
                  const Digest& aRequest,
@@ -102,10 +107,11 @@
 
   std::vector<Waiter> settle(std::uint64_t aSequence,
                              OrderState aState,
-                             std::shared_ptr<const Answer> aAnswer)
+                             std::shared_ptr<const Answer> aAnswer,
+                             std::size_t aAnswerBytes)
   {
     std::scoped_lock lock(mMutex);
-    return mLedger.settle(aSequence, aState, std::move(aAnswer));
+    return mLedger.settle(aSequence, aState, std::move(aAnswer), aAnswerBytes);
   }
 
   std::vector<Waiter> abandon(std::uint64_t aSequence)
--- a/libs/telemetry/src/LatencySummary.cpp
+++ b/libs/telemetry/src/LatencySummary.cpp
@@ -24,7 +24,8 @@
     if (acc::count(set) == 0) {
       return Duration{ 0 };
     }
-    return Duration(static_cast<std::int64_t>(acc::extended_p_square(set)[aIndex]));
+    return Duration(static_cast<std::int64_t>(
+      acc::extended_p_square(set)[static_cast<std::ptrdiff_t>(aIndex)]));
   }
 };
 
--- a/tests/demo/DemoMain.cpp
+++ b/tests/demo/DemoMain.cpp
@@ -148,6 +148,7 @@
 {
   const int n = 2 * static_cast<int>(aPlan.regions.size());
   std::vector<LoadRun::Target> targets;
+  targets.reserve(static_cast<std::size_t>(n));
   for (int i = n; i < 2 * n; ++i) {
     targets.push_back({ aSystem.upstreamHost(i), 9000 });
   }
@@ -175,6 +176,7 @@
               system.ctl({ QStringLiteral("status") }).output.toUtf8().constData());
   const auto direct = runDirect(system, plan);
   std::vector<LoadRun::Target> targets;
+  targets.reserve(kVms);
   for (int i = 0; i < kVms; ++i) {
     targets.push_back({ system.vmHost(i), TestSystem::kCallerPort });
   }
--- a/tests/harness/LoadRun.cpp
+++ b/tests/harness/LoadRun.cpp
@@ -2,6 +2,7 @@
 #include "TestCaller.h"
 #include "Wait.h"
 #include <algorithm>
+#include <core/Bytes.h>
 #include <http/BackPool.h>
 
 namespace masticwall::test {
@@ -52,7 +53,7 @@
     exchange.request = call.request;
     exchange.timeout = kCallTimeout;
     exchange.connectTimeout = 2s;
-    exchange.limits.maxBodyBytes = 64 * 1024 * 1024;
+    exchange.limits.maxBodyBytes = 64 * kMiB;
     ++open;
     // From when the call was due, so that a late start counts as waiting.
     exchange.done = [this, call, aDue](const http::BackResult& aResult) {
--- a/tests/harness/SystemPlan.h
+++ b/tests/harness/SystemPlan.h
@@ -24,6 +24,7 @@
   int upstreamQueue = 8;
   int coldMs = 0;
   int workers = 2;
+  int requestTimeoutMs = 10'000;
   int noticeMs = 300;
   int longestDrainMs = 20'000;
   int logRetentionMs = 3'600'000;
--- a/tests/harness/TestCaller.cpp
+++ b/tests/harness/TestCaller.cpp
@@ -1,5 +1,6 @@
 #include "TestCaller.h"
 #include "Wait.h"
+#include <core/Bytes.h>
 #include <http/ResponseParser.h>
 #include <http/Serializer.h>
 
@@ -27,7 +28,7 @@
 std::optional<http::Response>
 TestCaller::receive(int aMostMs, bool aIsHead)
 {
-  http::ResponseParser parser({ 64 * 1024, 64 * 1024 * 1024 }, aIsHead);
+  http::ResponseParser parser({ 64 * kKiB, 64 * kMiB }, aIsHead);
   std::optional<http::Response> response;
   waitUntil(
     [&] {
--- a/tests/harness/TestSystem.cpp
+++ b/tests/harness/TestSystem.cpp
@@ -195,8 +195,9 @@
   auto& vm = mVms[static_cast<std::size_t>(aVm)];
   auto arguments = commonArguments(aVm);
   arguments << QStringLiteral("--workers") << QString::number(mPlan.workers)
-            << QStringLiteral("--notice-ms") << QString::number(mPlan.noticeMs)
-            << QStringLiteral("--longest-drain-ms")
+            << QStringLiteral("--request-timeout-ms")
+            << QString::number(mPlan.requestTimeoutMs) << QStringLiteral("--notice-ms")
+            << QString::number(mPlan.noticeMs) << QStringLiteral("--longest-drain-ms")
             << QString::number(mPlan.longestDrainMs);
   vm.entry =
     std::make_unique<ChildProcess>(QStringLiteral("masticwall-entry"), arguments);
--- a/tests/standins/AdminServer.cpp
+++ b/tests/standins/AdminServer.cpp
@@ -1,5 +1,6 @@
 #include "AdminServer.h"
 #include <QUrl>
+#include <core/Bytes.h>
 #include <cstdio>
 #include <cstdlib>
 
@@ -32,7 +33,7 @@
              http::FrontListener::Handler aHandler)
 {
   http::FrontSettings settings;
-  settings.message.maxBodyBytes = 64 * 1024 * 1024;
+  settings.message.maxBodyBytes = 64 * kMiB;
   settings.maxPipelined = 10'000;
   auto listener = http::FrontListener::listen(
     aTimers, aHost, aPort, settings, std::move(aHandler), [](const std::error_code&) {
--- a/tests/standins/LogMain.cpp
+++ b/tests/standins/LogMain.cpp
@@ -15,8 +15,8 @@
     timers,
     options.host(),
     options.port(),
-    [&](const http::Request& aRequest, http::ResponderPtr aResponder) {
-      service.handle(aRequest, std::move(aResponder));
+    [&](const http::Request& aRequest, const http::ResponderPtr& aResponder) {
+      service.handle(aRequest, aResponder);
     });
   return QCoreApplication::exec();
 }
--- a/tests/standins/LogService.cpp
+++ b/tests/standins/LogService.cpp
@@ -22,7 +22,7 @@
 }
 
 void
-LogService::handle(const http::Request& aRequest, http::ResponderPtr aResponder)
+LogService::handle(const http::Request& aRequest, const http::ResponderPtr& aResponder)
 {
   if (pathOf(aRequest) == QLatin1String("/standin")) {
     change(aRequest);
--- a/tests/standins/LogService.h
+++ b/tests/standins/LogService.h
@@ -19,7 +19,7 @@
 public:
   LogService(TimerService& aTimers, const Options& aOptions);
 
-  void handle(const http::Request& aRequest, http::ResponderPtr aResponder);
+  void handle(const http::Request& aRequest, const http::ResponderPtr& aResponder);
 
 private:
   struct Record
--- a/tests/standins/UpstreamConnection.cpp
+++ b/tests/standins/UpstreamConnection.cpp
@@ -44,40 +44,39 @@
       return;
     }
     mParser.emplace(http::MessageLimits{});
-    const auto behaviour =
-      std::string(http::findHeader(request.value()->headers, "Test-Behaviour"));
-    mUpstream.handle(
-      *request.value(),
-      [self = shared_from_this(), behaviour](const http::Response& aResponse) {
-        self->answer(behaviour, aResponse);
-      });
+    const auto whole = std::move(*request.value());
+    mUpstream.handle(whole,
+                     [self = shared_from_this(), whole](const http::Response& aResponse) {
+                       self->answer(whole, aResponse);
+                     });
   }
 }
 
 void
-UpstreamConnection::answer(const std::string& aBehaviour, const http::Response& aResponse)
+UpstreamConnection::answer(const http::Request& aRequest, const http::Response& aResponse)
 {
-  auto bytes = http::serialize(aResponse, false, false);
-  if (aBehaviour == "silent") {
+  const auto behaviour = http::findHeader(aRequest.headers, "Test-Behaviour");
+  auto bytes = http::serialize(aResponse, aRequest.method == "HEAD", false);
+  if (behaviour == "silent") {
     return;
   }
-  if (aBehaviour == "close") {
+  if (behaviour == "close") {
     mSocket->abort();
     return;
   }
-  if (aBehaviour == "truncate") {
+  if (behaviour == "truncate") {
     bytes.chop(3);
     mSocket->write(bytes);
     mSocket->disconnectFromHost();
     return;
   }
-  if (aBehaviour == "surplus") {
+  if (behaviour == "surplus") {
     bytes += "surplus";
   }
-  if (aBehaviour == "double") {
+  if (behaviour == "double") {
     bytes += bytes;
   }
-  if (aBehaviour == "malformed") {
+  if (behaviour == "malformed") {
     bytes = "HTTP/1.1 two hundred\r\n\r\n";
   }
   mSocket->write(bytes);
--- a/tests/standins/UpstreamConnection.h
+++ b/tests/standins/UpstreamConnection.h
@@ -22,7 +22,7 @@
 
 private:
   void onReadable();
-  void answer(const std::string& aBehaviour, const http::Response& aResponse);
+  void answer(const http::Request& aRequest, const http::Response& aResponse);
 
   Upstream& mUpstream;
   QTcpSocket* mSocket; ///< owned; deleted by Qt later
