--- a/libs/control/src/ControlDaemon.cpp
+++ b/libs/control/src/ControlDaemon.cpp
@@ -67,7 +67,7 @@
   void serveClaim(const QByteArray& aBody, const PeerServer::Reply& aReply);
   void serveRelease(const QByteArray& aBody, const PeerServer::Reply& aReply);
   void onLeavingNotice(const QByteArray& aBody);
-  void onSuspect(const QByteArray& aBody);
+  void onSuspect(const QByteArray& aBody, const PeerServer::Reply& aReply);
   void markLeaving(const std::string& aVm, const std::string& aInstance);
   void askPeers();
   void postToMain(std::function<void()> aTask);
@@ -182,8 +182,7 @@
     aReply(QByteArray());
     return;
   } else if (aPath == paths::kSuspect) {
-    onSuspect(aBody);
-    aReply(QByteArray());
+    onSuspect(aBody, aReply);
     return;
   }
   aReply(std::nullopt);
@@ -239,16 +238,25 @@
 }
 
 void
-ControlDaemon::Impl::onSuspect(const QByteArray& aBody)
+ControlDaemon::Impl::onSuspect(const QByteArray& aBody, const PeerServer::Reply& aReply)
 {
   const auto suspect = decodeSuspect(aBody);
-  if (suspect.has_error() || !tables.suspects.merge(suspect.value().request,
-                                                    suspect.value().deaths,
-                                                    timers.now())) {
+  if (suspect.has_error()) {
+    aReply(std::nullopt);
+    return;
+  }
+  const auto& told = suspect.value();
+  if (!tables.suspects.merge(told.request, told.reporter, told.deaths, timers.now())) {
+    aReply(QByteArray());
     return;
   }
-  feed.addSuspect(suspect.value());
-  notices.tellAll(paths::kSuspect, aBody);
+  const auto reply = [aReply] { aReply(QByteArray()); };
+  if (told.reporter.starts_with(tables.settings.common.vm + '#')) {
+    // Our own entry's: it waits until the others know.
+    notices.tellAll(paths::kSuspect, aBody, reply);
+  } else {
+    feed.addSuspect(told, reply);
+  }
 }
 
 void
--- a/libs/control/src/FeedServer.cpp
+++ b/libs/control/src/FeedServer.cpp
@@ -19,6 +19,9 @@
 FeedServer::serve(const FeedRequest& aHave, PeerServer::Reply aReply)
 {
   mLastAsked = mTimers.now();
+  for (const auto& taken : std::exchange(mTakenBy, {})) {
+    taken();
+  }
   if (hasNews(aHave)) {
     reply(aHave, aReply);
     return;
@@ -47,9 +50,10 @@
 }
 
 void
-FeedServer::addSuspect(const Suspect& aSuspect)
+FeedServer::addSuspect(const Suspect& aSuspect, std::function<void()> aTaken)
 {
   mSuspects.push_back(aSuspect);
+  mToldOf.push_back(std::move(aTaken));
   onChange();
 }
 
@@ -79,6 +83,8 @@
     feed.vms = mTables.membership.current();
   }
   feed.suspects = std::exchange(mSuspects, {});
+  auto told = std::exchange(mToldOf, {});
+  mTakenBy.insert(mTakenBy.end(), told.begin(), told.end());
   aReply(encode(feed));
 }
 
--- a/libs/control/src/FeedServer.h
+++ b/libs/control/src/FeedServer.h
@@ -21,7 +21,9 @@
 
   /** The tables have changed. */
   void onChange();
-  void addSuspect(const Suspect& aSuspect);
+
+  /** Tells a suspect; `aTaken` is called once the entry process has taken it. */
+  void addSuspect(const Suspect& aSuspect, std::function<void()> aTaken);
 
   /** When the entry process last asked. */
   Instant lastAsked() const { return mLastAsked; }
@@ -40,7 +42,9 @@
   TimerService& mTimers;
   ControlTables& mTables;
   std::list<Waiter> mWaiters;
-  std::vector<Suspect> mSuspects; ///< not yet told
+  std::vector<Suspect> mSuspects;              ///< not yet told
+  std::vector<std::function<void()>> mToldOf;  ///< told with the next reply
+  std::vector<std::function<void()>> mTakenBy; ///< taken when the entry asks again
   Instant mLastAsked;
 };
 
--- a/libs/control/src/PeerNotices.h
+++ b/libs/control/src/PeerNotices.h
@@ -13,13 +13,21 @@
 public:
   PeerNotices(TimerService& aTimers, ControlTables& aTables);
 
-  /** Sends to every other VM of masticwall; what is lost is not sent again. */
-  void tellAll(const std::string& aPath, const QByteArray& aBody);
+  /**
+   * Sends to every other VM of masticwall; what is lost is not sent again. `aDone` is
+   * called once all have replied or failed.
+   */
+  void tellAll(
+    const std::string& aPath,
+    const QByteArray& aBody,
+    std::function<void()> aDone = [] {});
 
   /** Asks every other VM; calls back for each reply. */
-  void askAll(const std::string& aPath,
-              const QByteArray& aBody,
-              const std::function<void(const QByteArray&)>& aOnReply);
+  void askAll(
+    const std::string& aPath,
+    const QByteArray& aBody,
+    const std::function<void(const QByteArray&)>& aOnReply,
+    std::function<void()> aDone = [] {});
 
 private:
   struct Client
--- a/libs/decide/include/decide/SuspectList.h
+++ b/libs/decide/include/decide/SuspectList.h
@@ -4,22 +4,29 @@
 #include <core/Time.h>
 #include <cstddef>
 #include <deque>
+#include <map>
+#include <string>
 #include <unordered_map>
 
 namespace masticwall {
 
 /**
  * Requests whose upstream died while it ran them. A request that has taken two upstreams
- * is stopped. Bounded in count and in time. Not thread-safe.
+ * is stopped. Each process counts the deaths that it saw; the counts of all are added,
+ * so that deaths seen at the same moment are not taken for one. Bounded in count and in
+ * time. Not thread-safe.
  */
 class SuspectList
 {
 public:
-  /** An upstream died while it ran `aRequest`; returns the count after it. */
-  int noteDeath(const Digest& aRequest, Instant aNow);
+  /** `aReporter` saw an upstream die while it ran `aRequest`; returns its own count. */
+  int noteDeath(const Digest& aRequest, const std::string& aReporter, Instant aNow);
 
-  /** Takes a peer's count where it is higher; true if that changed anything. */
-  bool merge(const Digest& aRequest, int aDeaths, Instant aNow);
+  /** Takes a reporter's count if it is higher; true if that changed anything. */
+  bool merge(const Digest& aRequest,
+             const std::string& aReporter,
+             int aDeaths,
+             Instant aNow);
 
   bool isEmpty() const { return mEntries.empty(); }
 
@@ -29,7 +36,7 @@
 private:
   struct Entry
   {
-    int deaths = 0;
+    std::map<std::string, int> deaths; ///< by reporter
     Instant last;
   };
 
--- a/libs/decide/src/SuspectList.cpp
+++ b/libs/decide/src/SuspectList.cpp
@@ -11,21 +11,26 @@
 } // namespace
 
 int
-SuspectList::noteDeath(const Digest& aRequest, Instant aNow)
+SuspectList::noteDeath(const Digest& aRequest, const std::string& aReporter, Instant aNow)
 {
   auto& entry = entryOf(aRequest, aNow);
   entry.last = aNow;
-  return ++entry.deaths;
+  return ++entry.deaths[aReporter];
 }
 
 bool
-SuspectList::merge(const Digest& aRequest, int aDeaths, Instant aNow)
+SuspectList::merge(const Digest& aRequest,
+                   const std::string& aReporter,
+                   int aDeaths,
+                   Instant aNow)
 {
   auto& entry = entryOf(aRequest, aNow);
-  if (aDeaths <= entry.deaths) {
+  auto& known = entry.deaths[aReporter];
+  if (aDeaths <= known) {
     return false;
   }
-  entry = { aDeaths, aNow };
+  known = aDeaths;
+  entry.last = aNow;
   return true;
 }
 
@@ -33,8 +38,14 @@
 SuspectList::isStopped(const Digest& aRequest, Instant aNow) const
 {
   const auto it = mEntries.find(aRequest);
-  return it != mEntries.end() && it->second.deaths >= kMostDeaths &&
-         aNow - it->second.last < kRemembered;
+  if (it == mEntries.end() || aNow - it->second.last >= kRemembered) {
+    return false;
+  }
+  int n = 0;
+  for (const auto& [reporter, deaths] : it->second.deaths) {
+    n += deaths;
+  }
+  return n >= kMostDeaths;
 }
 
 SuspectList::Entry&
--- a/libs/entry/src/ControlLink.cpp
+++ b/libs/entry/src/ControlLink.cpp
@@ -83,10 +83,12 @@
 }
 
 void
-ControlLink::reportSuspect(const Suspect& aSuspect)
+ControlLink::reportSuspect(const Suspect& aSuspect, std::function<void()> aDone)
 {
-  mClient.request(
-    paths::kSuspect, encode(aSuspect), kNoticeTimeout, [](const Result<QByteArray>&) {});
+  mClient.request(paths::kSuspect,
+                  encode(aSuspect),
+                  kNoticeTimeout,
+                  [done = std::move(aDone)](const Result<QByteArray>&) { done(); });
 }
 
 void
--- a/libs/entry/src/ControlLink.h
+++ b/libs/entry/src/ControlLink.h
@@ -34,7 +34,8 @@
   void release(const ClaimId& aId);
 
   void reportLeaving(const std::string& aVm, const std::string& aInstance);
-  void reportSuspect(const Suspect& aSuspect);
+  /** Calls back once the other VMs know of it, or can't be told in time. */
+  void reportSuspect(const Suspect& aSuspect, std::function<void()> aDone);
 
   bool isConnected() const { return mIsConnected; }
 
--- a/libs/entry/src/EntryDaemon.cpp
+++ b/libs/entry/src/EntryDaemon.cpp
@@ -191,7 +191,7 @@
     putPreset(aFeed);
   }
   for (const auto& it : aFeed.suspects) {
-    tables.suspects.merge(it.request, it.deaths, timers.now());
+    tables.suspects.merge(it.request, it.reporter, it.deaths, timers.now());
   }
   applyTables();
   if (isListedAsLeaving() && !tables.isLeaving) {
--- a/libs/entry/src/EntryWorker.h
+++ b/libs/entry/src/EntryWorker.h
@@ -68,6 +68,8 @@
   void onShed(Call& aCall);
   void retryOrEnd(Call& aCall, CallError aError);
   void checkDeath(Call& aCall);
+  void shareDeath(std::uint64_t aCall, const Digest& aFingerprint);
+  void onDeathKnown(std::uint64_t aCall);
   void endAttempt(Call& aCall, CallEnd aEnd);
 
   // Ending
--- a/libs/entry/src/EntryWorkerEnding.cpp
+++ b/libs/entry/src/EntryWorkerEnding.cpp
@@ -44,6 +44,7 @@
     case CallStage::Sending:
       break;
   }
+  mBack.distrustIdle(call->exchange);
   if (call->isOrder()) {
     // It cannot be taken back; its outcome is awaited for those who ask again.
     answer(*call,
--- a/libs/entry/src/EntryWorkerSending.cpp
+++ b/libs/entry/src/EntryWorkerSending.cpp
@@ -177,15 +177,10 @@
   const auto upstream = *aCall.upstream;
   aCall.upstream.reset();
   const auto onProbed = [this, id, fingerprint = aCall.fingerprint](bool aIsListening) {
-    if (!aIsListening) {
-      const auto deaths = mTables.suspects.noteDeath(fingerprint, mTimers.now());
-      auto& hub = mHub;
-      hub.postToMain([&hub, fingerprint, deaths] {
-        hub.control->reportSuspect({ fingerprint, deaths });
-      });
-    }
-    if (auto* const call = find(id)) {
-      retryOrEnd(*call, CallError::UpstreamFailed);
+    if (aIsListening) {
+      onDeathKnown(id);
+    } else {
+      shareDeath(id, fingerprint);
     }
   };
   http::probeConnect(mTimers,
@@ -195,6 +190,31 @@
                      onProbed);
 }
 
+void
+EntryWorker::shareDeath(std::uint64_t aCall, const Digest& aFingerprint)
+{
+  const auto reporter =
+    mTables.settings.common.vm + '#' + std::to_string(mTables.incarnation);
+  const auto deaths = mTables.suspects.noteDeath(aFingerprint, reporter, mTimers.now());
+  auto& hub = mHub;
+  // The caller is answered only after the other VMs know, so that a resend through
+  // whichever of them meets the count.
+  hub.postToMain([&hub, aFingerprint, reporter, deaths, aCall, worker = mIndex] {
+    hub.control->reportSuspect({ aFingerprint, reporter, deaths }, [&hub, aCall, worker] {
+      hub.postToWorker(worker,
+                       [aCall](EntryWorker& aWorker) { aWorker.onDeathKnown(aCall); });
+    });
+  });
+}
+
+void
+EntryWorker::onDeathKnown(std::uint64_t aCall)
+{
+  if (auto* const call = find(aCall)) {
+    retryOrEnd(*call, CallError::UpstreamFailed);
+  }
+}
+
 void
 EntryWorker::retryOrEnd(Call& aCall, CallError aError)
 {
--- a/libs/http/include/http/BackPool.h
+++ b/libs/http/include/http/BackPool.h
@@ -24,6 +24,13 @@
   /** Ends an exchange without calling its `done`. Its connection is closed. */
   void cancel(std::uint64_t aExchange);
 
+  /**
+   * An exchange has had no answer in time: idle connections to its upstream that were
+   * not heard of since it started are closed, because what silenced the one may have
+   * silenced all. The exchange goes on.
+   */
+  void distrustIdle(std::uint64_t aExchange);
+
   void setConnectionsPerUpstream(int aConnections);
   std::size_t connectionCount() const;
 
--- a/libs/http/src/BackPool.cpp
+++ b/libs/http/src/BackPool.cpp
@@ -23,10 +23,18 @@
   using Address = std::pair<std::uint32_t, std::uint16_t>;
   using Connections = std::vector<std::shared_ptr<BackConnection>>;
 
+  /** An exchange in progress. */
+  struct Active
+  {
+    std::weak_ptr<BackConnection> connection;
+    Address address;
+    Instant startedAt;
+  };
+
   TimerService& timers;
   int perUpstream;
   std::map<Address, Connections> byAddress;
-  std::map<std::uint64_t, std::weak_ptr<BackConnection>> byExchange;
+  std::map<std::uint64_t, Active> byExchange;
   std::map<std::uint64_t, TimerSubscription> refused;
   std::uint64_t nextExchange = 1;
   TimerSubscription sweep;
@@ -88,10 +96,15 @@
                   [&](const auto& aOther) { return aOther.get() == &aConnection; });
   }
 
-  /**
-   * After a timeout the other connections to the upstream may be silent as well: those
-   * not heard of since are closed, so that the next calls open new ones.
-   */
+  void distrustIdle(std::uint64_t aExchange)
+  {
+    const auto it = byExchange.find(aExchange);
+    if (it != byExchange.end()) {
+      const auto active = it->second;
+      closeUnprovenSince(active.address, active.startedAt);
+    }
+  }
+
   void closeUnprovenSince(const Address& aAddress, Instant aSince)
   {
     const auto connections = byAddress[aAddress];
@@ -155,16 +168,14 @@
     impl->refuse(id, std::move(aExchange.done));
     return id;
   }
-  const auto startedAt = impl->timers.now();
-  aExchange.done =
-    [impl, id, address, startedAt, done = std::move(aExchange.done)](BackResult aResult) {
-      impl->byExchange.erase(id);
-      if (aResult.error == BackError::Timeout) {
-        impl->closeUnprovenSince(address, startedAt);
-      }
-      done(std::move(aResult));
-    };
-  impl->byExchange[id] = connection;
+  aExchange.done = [impl, id, done = std::move(aExchange.done)](BackResult aResult) {
+    if (aResult.error == BackError::Timeout) {
+      impl->distrustIdle(id);
+    }
+    impl->byExchange.erase(id);
+    done(std::move(aResult));
+  };
+  impl->byExchange[id] = { connection, address, impl->timers.now() };
   connection->carry(id, std::move(aExchange));
   return id;
 }
@@ -177,13 +188,19 @@
   if (it == mImpl->byExchange.end()) {
     return;
   }
-  const auto connection = it->second.lock();
+  const auto connection = it->second.connection.lock();
   mImpl->byExchange.erase(it);
   if (connection != nullptr && connection->exchangeId() == aExchange) {
     connection->abandon();
   }
 }
 
+void
+BackPool::distrustIdle(std::uint64_t aExchange)
+{
+  mImpl->distrustIdle(aExchange);
+}
+
 void
 BackPool::setConnectionsPerUpstream(int aConnections)
 {
--- a/libs/messages/include/messages/Feed.h
+++ b/libs/messages/include/messages/Feed.h
@@ -21,7 +21,8 @@
 struct Suspect
 {
   Digest request;
-  int deaths = 0;
+  std::string reporter; ///< the process that saw the deaths: VM and incarnation
+  int deaths = 0;       ///< that it saw
 };
 
 /** What a control process tells its entry process; parts that are not newer are empty. */
--- a/libs/messages/src/Feed.cpp
+++ b/libs/messages/src/Feed.cpp
@@ -51,6 +51,7 @@
 {
   CborWriter writer;
   writer.digest(Field::Request, aSuspect.request);
+  writer.text(Field::Vm, aSuspect.reporter);
   writer.number(Field::Deaths, static_cast<std::uint64_t>(aSuspect.deaths));
   return writer.map();
 }
@@ -60,6 +61,7 @@
 {
   Suspect suspect;
   suspect.request = aReader.digest(Field::Request);
+  suspect.reporter = aReader.text(Field::Vm);
   suspect.deaths = static_cast<int>(aReader.number(Field::Deaths));
   if (aReader.error()) {
     return aReader.error();
--- a/libs/tables/include/tables/SuspectTable.h
+++ b/libs/tables/include/tables/SuspectTable.h
@@ -9,16 +9,19 @@
 class SuspectTable
 {
 public:
-  int noteDeath(const Digest& aRequest, Instant aNow)
+  int noteDeath(const Digest& aRequest, const std::string& aReporter, Instant aNow)
   {
     std::scoped_lock lock(mMutex);
-    return mList.noteDeath(aRequest, aNow);
+    return mList.noteDeath(aRequest, aReporter, aNow);
   }
 
-  bool merge(const Digest& aRequest, int aDeaths, Instant aNow)
+  bool merge(const Digest& aRequest,
+             const std::string& aReporter,
+             int aDeaths,
+             Instant aNow)
   {
     std::scoped_lock lock(mMutex);
-    return mList.merge(aRequest, aDeaths, aNow);
+    return mList.merge(aRequest, aReporter, aDeaths, aNow);
   }
 
   bool isEmpty() const
--- a/tests/harness/LoadRun.cpp
+++ b/tests/harness/LoadRun.cpp
@@ -44,8 +44,8 @@
 
   void begin(const MakeCall& aMakeCall, Instant aDue)
   {
-    const auto& target = targets[started % targets.size()];
     auto call = aMakeCall(started++, random);
+    const auto& target = targets[started % targets.size()];
     call.request.headers.push_back({ "Request-Id", std::to_string(started) });
     http::Exchange exchange;
     exchange.host = target.host;
@@ -94,6 +94,12 @@
 
 LoadRun::~LoadRun() = default;
 
+void
+LoadRun::setTargets(std::vector<Target> aTargets)
+{
+  mImpl->targets = std::move(aTargets);
+}
+
 std::vector<LoadResult>
 LoadRun::run(Duration aDuration, const MakeCall& aMakeCall)
 {
--- a/tests/harness/LoadRun.h
+++ b/tests/harness/LoadRun.h
@@ -49,6 +49,9 @@
   LoadRun(std::vector<Target> aTargets, double aCallsPerSecond, std::uint64_t aSeed);
   ~LoadRun();
 
+  /** From now on calls go to these; may be called from within run(). */
+  void setTargets(std::vector<Target> aTargets);
+
   /** Runs for `aDuration`, then until every call has ended (15 s at most). */
   std::vector<LoadResult> run(Duration aDuration, const MakeCall& aMakeCall);
 
--- a/tests/harness/SystemPlan.h
+++ b/tests/harness/SystemPlan.h
@@ -30,6 +30,7 @@
   int logRetentionMs = 3'600'000;
   int orderWindowMs = 600'000;
   int vmListLagMs = 0;
+  bool vmListsDiffer = false;    ///< each VM sees itself and the upstreams, no other VM
   bool proxiesUpstreams = false; ///< every upstream is reached through a proxy
   bool proxiesLog = false;
   std::string preset; ///< TOML; empty: a default that fits the services
--- a/tests/harness/TestSystem.cpp
+++ b/tests/harness/TestSystem.cpp
@@ -17,7 +17,7 @@
 constexpr quint16 kStandinPort = 9000;
 constexpr quint16 kProxyAdminPort = 9001;
 constexpr int kLogHost = 1;
-constexpr int kVmListHost = 2;
+constexpr int kVmListHost = 60; ///< and up, where each VM sees a list of its own
 constexpr int kLogProxyHost = 3;
 
 /** A number for the loopback network of each system, so that none meets another. */
@@ -105,12 +105,15 @@
                                                 address(kLogHost).toString(),
                                                 QStringLiteral("--retention-ms"),
                                                 QString::number(mPlan.logRetentionMs) });
-  mVmList =
-    std::make_unique<ChildProcess>(QStringLiteral("standin-vm-list"),
-                                   QStringList{ QStringLiteral("--host"),
-                                                address(kVmListHost).toString(),
-                                                QStringLiteral("--lag-ms"),
-                                                QString::number(mPlan.vmListLagMs) });
+  const int lists = mPlan.vmListsDiffer ? mPlan.vms : 1;
+  for (int i = 0; i < lists; ++i) {
+    mVmLists.push_back(
+      std::make_unique<ChildProcess>(QStringLiteral("standin-vm-list"),
+                                     QStringList{ QStringLiteral("--host"),
+                                                  address(kVmListHost + i).toString(),
+                                                  QStringLiteral("--lag-ms"),
+                                                  QString::number(mPlan.vmListLagMs) }));
+  }
   if (mPlan.proxiesLog) {
     mLogProxy =
       std::make_unique<ChildProcess>(QStringLiteral("standin-proxy"),
@@ -122,8 +125,10 @@
                                                   QString::number(kStandinPort) });
   }
   startUpstreams();
-  const bool isUp = waitForPort(address(kLogHost), kStandinPort) &&
-                    waitForPort(address(kVmListHost), kStandinPort);
+  bool isUp = waitForPort(address(kLogHost), kStandinPort);
+  for (int i = 0; i < lists; ++i) {
+    isUp = isUp && waitForPort(address(kVmListHost + i), kStandinPort);
+  }
   publishVmList();
   return isUp;
 }
@@ -210,7 +215,7 @@
   auto& vm = mVms[static_cast<std::size_t>(aVm)];
   auto arguments = commonArguments(aVm);
   arguments << QStringLiteral("--log-url") << logUrl() << QStringLiteral("--vm-list-url")
-            << vmListUrl() << QStringLiteral("--log-retention-ms")
+            << vmListUrl(aVm) << QStringLiteral("--log-retention-ms")
             << QString::number(mPlan.logRetentionMs);
   vm.control =
     std::make_unique<ChildProcess>(QStringLiteral("masticwall-control"), arguments);
@@ -274,15 +279,52 @@
 CtlResult
 TestSystem::ctl(const QStringList& aArguments)
 {
-  QStringList arguments{
-    QStringLiteral("--log-url"), logUrl(), QStringLiteral("--vm-list-url"), vmListUrl()
+  ChildProcess process(QStringLiteral("masticwallctl"), ctlArguments() + aArguments);
+  const auto exitCode = process.waitForEnd();
+  return { exitCode, process.standardOutput(), process.standardError() };
+}
+
+void
+TestSystem::ctlBoth(const QStringList& aFirst,
+                    const QStringList& aSecond,
+                    std::vector<CtlResult>& aResults)
+{
+  ChildProcess first(QStringLiteral("masticwallctl"), ctlArguments() + aFirst);
+  ChildProcess second(QStringLiteral("masticwallctl"), ctlArguments() + aSecond);
+  const auto firstCode = first.waitForEnd();
+  const auto secondCode = second.waitForEnd();
+  aResults = { { firstCode, first.standardOutput(), first.standardError() },
+               { secondCode, second.standardOutput(), second.standardError() } };
+}
+
+QStringList
+TestSystem::ctlArguments() const
+{
+  return {
+    QStringLiteral("--log-url"), logUrl(), QStringLiteral("--vm-list-url"), vmListUrl(0)
   };
-  ChildProcess process(QStringLiteral("masticwallctl"), arguments + aArguments);
-  CtlResult result;
-  result.exitCode = process.waitForEnd();
-  result.output = process.standardOutput();
-  result.error = process.standardError();
-  return result;
+}
+
+qint64
+TestSystem::firstConfigOffset()
+{
+  const auto response = callOnce(address(kLogHost),
+                                 kStandinPort,
+                                 makeRequest("GET", "/streams/masticwall-config?from=0"));
+  if (!response.has_value()) {
+    return 0;
+  }
+  return QJsonDocument::fromJson(QByteArray::fromStdString(response->body))
+    .object()[QStringLiteral("first")]
+    .toInteger();
+}
+
+void
+TestSystem::appendConfig(const std::string& aData)
+{
+  callOnce(address(kLogHost),
+           kStandinPort,
+           makeRequest("POST", "/streams/masticwall-config", {}, aData));
 }
 
 QJsonObject
@@ -346,9 +388,22 @@
 
 void
 TestSystem::publishVmList()
+{
+  for (int i = 0; i < static_cast<int>(mVmLists.size()); ++i) {
+    const auto body = vmListFor(i).toStdString();
+    callOnce(
+      address(kVmListHost + i), kStandinPort, makeRequest("PUT", "/vms", {}, body));
+  }
+}
+
+QByteArray
+TestSystem::vmListFor(int aVm) const
 {
   QJsonArray vms;
   for (int i = 0; i < mPlan.vms; ++i) {
+    if (mPlan.vmListsDiffer && i != aVm) {
+      continue;
+    }
     vms.append(QJsonObject{
       { QStringLiteral("name"), QStringLiteral("vm-%1").arg(i) },
       { QStringLiteral("role"), QStringLiteral("masticwall") },
@@ -374,9 +429,7 @@
                    { QStringLiteral("instance"), QString::number(upstream.instance) },
                    { QStringLiteral("leaving"), upstream.isListedLeaving } });
   }
-  const auto body =
-    QJsonDocument(QJsonObject{ { QStringLiteral("vms"), vms } }).toJson().toStdString();
-  callOnce(address(kVmListHost), kStandinPort, makeRequest("PUT", "/vms", {}, body));
+  return QJsonDocument(QJsonObject{ { QStringLiteral("vms"), vms } }).toJson();
 }
 
 LedgerFile
@@ -448,11 +501,10 @@
 }
 
 QString
-TestSystem::vmListUrl() const
+TestSystem::vmListUrl(int aVm) const
 {
-  return QStringLiteral("http://%1:%2")
-    .arg(address(kVmListHost).toString())
-    .arg(kStandinPort);
+  const auto host = address(kVmListHost + (mPlan.vmListsDiffer ? aVm : 0));
+  return QStringLiteral("http://%1:%2").arg(host.toString()).arg(kStandinPort);
 }
 
 QStringList
--- a/tests/harness/TestSystem.h
+++ b/tests/harness/TestSystem.h
@@ -61,6 +61,15 @@
                                      int aMostMs = 15'000);
   CtlResult ctl(const QStringList& aArguments);
 
+  /** Runs two at the same moment. */
+  void ctlBoth(const QStringList& aFirst,
+               const QStringList& aSecond,
+               std::vector<CtlResult>& aResults);
+
+  /** The oldest configuration record that the log still keeps. */
+  qint64 firstConfigOffset();
+  void appendConfig(const std::string& aData);
+
   /** The state dump of a VM's entry process. */
   QJsonObject entryState(int aVm);
   QJsonObject controlState(int aVm);
@@ -103,7 +112,9 @@
   QHostAddress proxyHost(int aIndex) const { return address(170 + aIndex); }
   std::string regionOf(int aVm) const;
   QString logUrl() const;
-  QString vmListUrl() const;
+  QString vmListUrl(int aVm) const;
+  QStringList ctlArguments() const;
+  QByteArray vmListFor(int aVm) const;
   QStringList commonArguments(int aVm) const;
   void startUpstreams();
   void startUpstreamProxy(int aIndex);
@@ -115,7 +126,7 @@
   int mNet;
   std::unique_ptr<ChildProcess> mLog;
   std::unique_ptr<ChildProcess> mLogProxy;
-  std::unique_ptr<ChildProcess> mVmList;
+  std::vector<std::unique_ptr<ChildProcess>> mVmLists; ///< one, or one for each VM
   std::vector<UpstreamProcess> mUpstreams;
   std::vector<VmProcesses> mVms;
 };
--- a/tests/standins/Upstream.cpp
+++ b/tests/standins/Upstream.cpp
@@ -49,9 +49,7 @@
   if (path == QLatin1String("/health")) {
     mLedger.write("probe");
     auto response = okResponse("ok\n");
-    if (!mHidesLeaving) {
-      addSigns(response);
-    }
+    addSigns(response);
     aDone(std::move(response));
     return;
   }
@@ -157,7 +155,7 @@
   aResponse.headers.push_back({ "Upstream-In-Use", std::to_string(mInUse) });
   aResponse.headers.push_back({ "Upstream-Queued", std::to_string(mQueue.size()) });
   aResponse.headers.push_back({ "Upstream-Instance", mInstance });
-  if (mIsLeaving) {
+  if (mIsLeaving && !mHidesLeaving) {
     aResponse.headers.push_back({ "Upstream-Leaving", "1" });
   }
 }
--- a/tests/standins/Upstream.h
+++ b/tests/standins/Upstream.h
@@ -54,7 +54,7 @@
   Instant mStartedAt;
   bool mIsLeaving = false;
   bool mIsFailing = false;    ///< answers 500 at once
-  bool mHidesLeaving = false; ///< its health endpoint says that all is well
+  bool mHidesLeaving = false; ///< neither its health nor its answers say that it leaves
   int mInUse = 0;
   std::deque<Waiting> mQueue;
   std::uint64_t mNextTimer = 1;
