--- a/tests/harness/LoadRun.cpp
+++ b/tests/harness/LoadRun.cpp
@@ -68,6 +68,7 @@
     LoadResult result;
     result.kind = aCall.kind;
     result.request = aCall.request;
+    result.dueAt = aDue;
     result.latency = timers.now() - aDue;
     if (aResult.error) {
       result.outcome = "none";
--- a/tests/harness/LoadRun.h
+++ b/tests/harness/LoadRun.h
@@ -26,7 +26,8 @@
   std::string kind;
   std::string outcome; ///< "answered", "not-run", "unknown", or "none" without an answer
   std::string reason;
-  Duration latency{ 0 };
+  Instant dueAt;
+  Duration latency{ 0 };   ///< from when it was due
   bool isOwnAnswer = true; ///< an answered call got the answer to its own request
   http::Request request;
 };
--- a/tests/harness/TestSystem.cpp
+++ b/tests/harness/TestSystem.cpp
@@ -174,6 +174,16 @@
   waitForPort(upstreamHost(aIndex), kStandinPort);
 }
 
+void
+TestSystem::restartUpstream(int aIndex)
+{
+  auto& upstream = mUpstreams[static_cast<std::size_t>(aIndex)];
+  upstream.process->kill();
+  ++upstream.instance;
+  startUpstream(aIndex);
+  publishVmList();
+}
+
 void
 TestSystem::startUpstreamProxy(int aIndex)
 {
--- a/tests/harness/TestSystem.h
+++ b/tests/harness/TestSystem.h
@@ -52,6 +52,9 @@
   }
   int upstreamCount() const { return static_cast<int>(mUpstreams.size()); }
   void startUpstream(int aIndex);
+
+  /** Starts an upstream anew, as another instance. */
+  void restartUpstream(int aIndex);
   std::string upstreamName(int aIndex) const;
 
   QHostAddress vmHost(int aVm) const { return address(10 + aVm); }
--- a/tests/standins/Upstream.cpp
+++ b/tests/standins/Upstream.cpp
@@ -77,6 +77,8 @@
       mIsFailing = value.toInt() != 0;
     } else if (name == QLatin1String("slow_factor")) {
       mSlowFactor = value.toDouble();
+    } else if (name == QLatin1String("report_lag_ms")) {
+      mReportLag = std::chrono::milliseconds(value.toInt());
     } else if (name == QLatin1String("service_ms")) {
       mServiceMs = value.toDouble();
     }
@@ -130,11 +132,14 @@
   if (!asked.empty()) {
     return std::chrono::milliseconds(std::atoi(asked.c_str()));
   }
+  const auto drawn = headerOf(aRequest, "Test-Service-Us");
+  const std::chrono::microseconds given(std::atoi(drawn.c_str()));
   std::lognormal_distribution<double> shape(-kSigma * kSigma / 2.0, kSigma);
   const bool isCold = mTimers.now() - mStartedAt < std::chrono::milliseconds(mColdMs);
   const auto factor = mSlowFactor * (isCold ? kColdFactor : 1.0);
-  const std::chrono::duration<double, std::milli> time(mServiceMs * factor *
-                                                       shape(mRandom));
+  const auto ms = drawn.empty() ? mServiceMs * shape(mRandom)
+                                : static_cast<double>(given.count()) / 1000.0;
+  const std::chrono::duration<double, std::milli> time(ms * factor);
   return std::chrono::duration_cast<Duration>(time);
 }
 
@@ -150,10 +155,16 @@
 }
 
 void
-Upstream::addSigns(http::Response& aResponse) const
+Upstream::addSigns(http::Response& aResponse)
 {
-  aResponse.headers.push_back({ "Upstream-In-Use", std::to_string(mInUse) });
-  aResponse.headers.push_back({ "Upstream-Queued", std::to_string(mQueue.size()) });
+  const auto now = mTimers.now();
+  mReports.push_back({ mInUse, static_cast<int>(mQueue.size()), now });
+  while (mReports.size() > 1 && mReports[1].at + mReportLag <= now) {
+    mReports.pop_front();
+  }
+  const auto& report = mReports.front();
+  aResponse.headers.push_back({ "Upstream-In-Use", std::to_string(report.inUse) });
+  aResponse.headers.push_back({ "Upstream-Queued", std::to_string(report.queued) });
   aResponse.headers.push_back({ "Upstream-Instance", mInstance });
   if (mIsLeaving && !mHidesLeaving) {
     aResponse.headers.push_back({ "Upstream-Leaving", "1" });
@@ -161,7 +172,7 @@
 }
 
 http::Response
-Upstream::shed() const
+Upstream::shed()
 {
   http::Response response{ 503, {}, "shed\n", true };
   response.headers.push_back({ "Upstream-Not-Run", "1" });
--- a/tests/standins/Upstream.h
+++ b/tests/standins/Upstream.h
@@ -33,13 +33,20 @@
     Done done;
   };
 
+  struct Report
+  {
+    int inUse = 0;
+    int queued = 0;
+    Instant at;
+  };
+
   void change(const http::Request& aRequest);
   void runNext();
   void run(const Waiting& aWaiting);
   Duration serviceTime(const http::Request& aRequest);
   http::Response answerTo(const http::Request& aRequest);
-  void addSigns(http::Response& aResponse) const;
-  http::Response shed() const;
+  void addSigns(http::Response& aResponse);
+  http::Response shed();
 
   TimerService& mTimers;
   std::string mName;
@@ -55,6 +62,8 @@
   bool mIsLeaving = false;
   bool mIsFailing = false;    ///< answers 500 at once
   bool mHidesLeaving = false; ///< neither its health nor its answers say that it leaves
+  Duration mReportLag{ 0 };   ///< how old the load is that answers tell of
+  std::deque<Report> mReports;
   int mInUse = 0;
   std::deque<Waiting> mQueue;
   std::uint64_t mNextTimer = 1;
