Tell a slow upstream from its answers, and give it one trial call in two seconds

Cause: with one of twelve upstreams slowed tenfold, fewest in flight still gave it about 1% of calls, enough to carry the whole p99. Ruled out: a stronger weight of reported load (a slow upstream reports what a fast one does: slots in use); backing off on failures (it does not fail). Change: an upstream whose mean latency is three times the median of its service's is slow: one call in flight, at most one in two seconds from each entry, until a call comes back fast. A failed call counts with its latency.

--- a/libs/decide/include/decide/UpstreamPool.h
+++ b/libs/decide/include/decide/UpstreamPool.h
@@ -42,6 +42,7 @@
     }
     auto* const chosen = pick(aPolicy, candidates, aNow, aRandom);
     ++chosen->inFlight;
+    noteTrial(*chosen, aNow);
     return chosen;
   }
 
@@ -85,9 +86,14 @@
                                        const std::vector<std::string>& aExcluded,
                                        Instant aNow);
   UpstreamState* find(std::string_view aName);
+  bool isSlow(const UpstreamState& aState) const;
+  void noteTrial(UpstreamState& aState, Instant aNow);
+  void noteLatency(UpstreamState& aState, Duration aLatency);
+  void updateTypicalLatency();
 
   std::vector<std::unique_ptr<UpstreamState>> mStates;
   std::vector<UpstreamAddress> mLeaving; ///< instances that said so
+  Duration mTypicalLatency{ 0 };         ///< median of the upstreams' means
 };
 
 } // namespace masticwall
--- a/libs/decide/include/decide/UpstreamState.h
+++ b/libs/decide/include/decide/UpstreamState.h
@@ -13,6 +13,8 @@
   int inFlight = 0; ///< calls from this process
   LoadReport load;
   Duration meanLatency{ 0 };
+  int samples = 0; ///< latencies in the mean
+  Instant trialAt; ///< while slow: when it may be given one call again
   int failuresInARow = 0;
   Instant backOffUntil; ///< no call before; set after failures and shedding
   Instant seenSince;    ///< when this instance was first seen
--- a/libs/decide/src/UpstreamPool.cpp
+++ b/libs/decide/src/UpstreamPool.cpp
@@ -12,6 +12,13 @@
 constexpr int kLatencyWeight = 8; ///< one answer weighs 1/8 in the mean
 constexpr int kMaxDoublings = 6;
 
+/** An upstream is slow if its mean latency is so many times the median of all. */
+constexpr int kSlowFactor = 3;
+constexpr int kFewestSamples = 3;
+
+/** A slow upstream gets one call from this process in each period, to see it recover. */
+constexpr Duration kTrialPeriod = std::chrono::seconds(2);
+
 Duration
 backOffAfter(int aFailuresInARow)
 {
@@ -81,12 +88,13 @@
     case CallEnd::Answered:
       state->failuresInARow = 0;
       state->backOffUntil = Instant{};
-      state->meanLatency += (aLatency - state->meanLatency) / kLatencyWeight;
+      noteLatency(*state, aLatency);
       return;
     case CallEnd::Shed:
       state->backOffUntil = aNow + kShedBackOff;
       return;
     case CallEnd::Failed:
+      noteLatency(*state, std::max(aLatency, state->meanLatency));
       ++state->failuresInARow;
       state->backOffUntil = aNow + backOffAfter(state->failuresInARow);
       return;
@@ -160,7 +168,8 @@
     const bool isExcluded =
       std::find(aExcluded.begin(), aExcluded.end(), it->address.name) != aExcluded.end();
     if (it->leaving || isExcluded || it->address.region != aRegion ||
-        it->inFlight >= warmLimit(*it, aMaxInFlight, aNow)) {
+        it->inFlight >= warmLimit(*it, aMaxInFlight, aNow) ||
+        (isSlow(*it) && (it->inFlight > 0 || aNow < it->trialAt))) {
       continue;
     }
     (it->backOffUntil > aNow ? backingOff : ready).push_back(it.get());
@@ -168,6 +177,52 @@
   return ready.empty() ? backingOff : ready;
 }
 
+bool
+UpstreamPool::isSlow(const UpstreamState& aState) const
+{
+  return aState.samples >= kFewestSamples && mTypicalLatency > Duration{ 0 } &&
+         aState.meanLatency > kSlowFactor * mTypicalLatency;
+}
+
+void
+UpstreamPool::noteTrial(UpstreamState& aState, Instant aNow)
+{
+  if (isSlow(aState)) {
+    aState.trialAt = aNow + kTrialPeriod;
+  }
+}
+
+void
+UpstreamPool::noteLatency(UpstreamState& aState, Duration aLatency)
+{
+  const bool isRecovered = isSlow(aState) && aLatency <= kSlowFactor * mTypicalLatency;
+  if (isRecovered || aState.samples == 0) {
+    aState.meanLatency = aLatency;
+  } else {
+    aState.meanLatency += (aLatency - aState.meanLatency) / kLatencyWeight;
+  }
+  ++aState.samples;
+  updateTypicalLatency();
+}
+
+void
+UpstreamPool::updateTypicalLatency()
+{
+  std::vector<Duration> means;
+  for (const auto& it : mStates) {
+    if (it->samples >= kFewestSamples) {
+      means.push_back(it->meanLatency);
+    }
+  }
+  if (means.size() < 3) {
+    mTypicalLatency = Duration{ 0 };
+    return;
+  }
+  const auto middle = means.begin() + static_cast<std::ptrdiff_t>(means.size() / 2);
+  std::nth_element(means.begin(), middle, means.end());
+  mTypicalLatency = *middle;
+}
+
 UpstreamState*
 UpstreamPool::find(std::string_view aName)
 {
--- a/libs/decide/tests/UpstreamPoolTest.cpp
+++ b/libs/decide/tests/UpstreamPoolTest.cpp
@@ -156,3 +156,26 @@
     fixture.finish("c", CallEnd::Answered);
   }
 }
+
+TEST_CASE(
+  "a slow upstream gets one call in a while, and its share again once it recovers")
+{
+  Fixture fixture;
+  const auto runCalls = [&](int aCalls, Duration aLatencyOfA) {
+    int n = 0;
+    for (int i = 0; i < aCalls; ++i) {
+      const auto name = fixture.choose(ChoicePolicy::Random);
+      n += name == "a" ? 1 : 0;
+      fixture.pool().finished(
+        name, CallEnd::Answered, name == "a" ? aLatencyOfA : 10ms, fixture.time().now());
+      fixture.time().advance(1ms);
+    }
+    return n;
+  };
+  CHECK(runCalls(300, 10ms) > 60);
+  CHECK(runCalls(300, 100ms) < 12);
+  // One trial in two seconds.
+  CHECK(runCalls(4000, 100ms) <= 3);
+  runCalls(2500, 10ms);
+  CHECK(runCalls(300, 10ms) > 60);
+}
