Take error answers for what they are: back off after two, retry lookups elsewhere

Cause: an upstream that answered 500 at once looked idle and fast, and every lookup it drew ended with its error. Ruled out: backing off after one (a request may be at fault itself); counting its quick answers as latency. Change: two error answers in a row make an upstream back off; a lookup is tried at another within the retry budget, and its caller gets the first error answer if no better one comes; an order is never retried.

--- a/libs/decide/include/decide/CallEnd.h
+++ b/libs/decide/include/decide/CallEnd.h
@@ -9,16 +9,18 @@
 enum class CallEnd : std::uint8_t
 {
   Answered,
-  Shed,      ///< the upstream said that it did not run the call
-  Failed,    ///< no connection, or no whole answer
-  Cancelled, ///< ended from this side; says nothing of the upstream
+  ErrorAnswer, ///< a whole answer that says that the upstream failed (5xx)
+  Shed,        ///< the upstream said that it did not run the call
+  Failed,      ///< no connection, or no whole answer
+  Cancelled,   ///< ended from this side; says nothing of the upstream
 };
 
 template<>
 struct EnumTable<CallEnd>
 {
-  static constexpr std::array<EnumName<CallEnd>, 4> kEntries{ {
+  static constexpr std::array<EnumName<CallEnd>, 5> kEntries{ {
     { CallEnd::Answered, "answered" },
+    { CallEnd::ErrorAnswer, "error-answer" },
     { CallEnd::Shed, "shed" },
     { CallEnd::Failed, "failed" },
     { CallEnd::Cancelled, "cancelled" },
--- a/libs/decide/include/decide/Limits.h
+++ b/libs/decide/include/decide/Limits.h
@@ -13,7 +13,7 @@
   std::size_t maxBodyBytes = kMiB;
   int connectionsPerUpstream = 15; ///< of one entry process, over all its workers
   std::size_t queueLength = 200;   ///< waiting calls of one rank and service
-  double overcommit = 2.0;         ///< in-flight limit over the even share of slots
+  double overcommit = 1.25;        ///< in-flight limit over the even share of slots
   double retryBudget = 0.1;        ///< retries as a share of calls
   ChoicePolicy choice = ChoicePolicy::AgedLoad;
 };
--- a/libs/decide/src/UpstreamPool.cpp
+++ b/libs/decide/src/UpstreamPool.cpp
@@ -15,6 +15,7 @@
 /** An upstream is slow if its mean latency is so many times the median of all. */
 constexpr int kSlowFactor = 3;
 constexpr int kFewestSamples = 3;
+constexpr int kErrorAnswersToBackOff = 2;
 
 /** A slow upstream gets one call from this process in each period, to see it recover. */
 constexpr Duration kTrialPeriod = std::chrono::seconds(2);
@@ -90,6 +91,15 @@
       state->backOffUntil = Instant{};
       noteLatency(*state, aLatency);
       return;
+    case CallEnd::ErrorAnswer:
+      // One may be the request's own fault; a run of them is the upstream's. Its quick
+      // answers say nothing of how fast it works.
+      ++state->failuresInARow;
+      if (state->failuresInARow >= kErrorAnswersToBackOff) {
+        state->backOffUntil =
+          aNow + backOffAfter(state->failuresInARow - kErrorAnswersToBackOff + 1);
+      }
+      return;
     case CallEnd::Shed:
       state->backOffUntil = aNow + kShedBackOff;
       return;
--- a/libs/decide/tests/UpstreamPoolTest.cpp
+++ b/libs/decide/tests/UpstreamPoolTest.cpp
@@ -179,3 +179,20 @@
   runCalls(2500, 10ms);
   CHECK(runCalls(300, 10ms) > 60);
 }
+
+TEST_CASE(
+  "an upstream that answers errors fast does not look idle, one error is forgiven")
+{
+  Fixture fixture;
+  fixture.finish("a", CallEnd::ErrorAnswer);
+  CHECK(fixture.countChoices(90, ChoicePolicy::Random)["a"] > 15);
+  int errors = 0;
+  for (int i = 0; i < 200; ++i) {
+    const auto name = fixture.choose();
+    const bool isFailing = name == "a";
+    errors += isFailing ? 1 : 0;
+    fixture.finish(name, isFailing ? CallEnd::ErrorAnswer : CallEnd::Answered);
+    fixture.time().advance(1ms);
+  }
+  CHECK(errors <= 4);
+}
--- a/libs/entry/src/Call.h
+++ b/libs/entry/src/Call.h
@@ -8,6 +8,7 @@
 #include <decide/UpstreamAddress.h>
 #include <http/Request.h>
 #include <http/Responder.h>
+#include <http/Response.h>
 #include <memory>
 #include <optional>
 #include <runtime/TimerSubscription.h>
@@ -40,6 +41,8 @@
   Instant sentAt;
   std::vector<std::string> excluded; ///< upstreams that have failed this call
   int attempts = 0;
+  bool isSent = false;                      ///< the last attempt may have run
+  std::optional<http::Response> lastAnswer; ///< an error answer, if no better one comes
   bool wasShed = false;
   bool mayHaveRun = false; ///< an attempt may have run that no answer has told of
   TimerSubscription deadlineTimer;
--- a/libs/entry/src/EntryWorker.h
+++ b/libs/entry/src/EntryWorker.h
@@ -66,6 +66,7 @@
   void onAnswer(Call& aCall, const http::Response& aResponse);
   void onFailure(Call& aCall, const http::BackResult& aResult);
   void onShed(Call& aCall);
+  bool mayTryAgain(const Call& aCall);
   void retryOrEnd(Call& aCall, CallError aError);
   void checkDeath(Call& aCall);
   void shareDeath(std::uint64_t aCall, const Digest& aFingerprint);
--- a/libs/entry/src/EntryWorkerSending.cpp
+++ b/libs/entry/src/EntryWorkerSending.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr int kMostAttempts = 3;
+constexpr int kFirstErrorStatus = 500;
 
 /** How long an order's outcome is awaited after its caller's deadline. */
 constexpr Duration kSettleTime = std::chrono::seconds(30);
@@ -45,6 +46,10 @@
                                aCall.excluded },
                              now);
   if (chosen.has_error()) {
+    if (aCall.lastAnswer.has_value()) {
+      endWithAnswer(aCall, *std::exchange(aCall.lastAnswer, std::nullopt));
+      return;
+    }
     const auto error = aCall.wasShed ? CallError::UpstreamShed : CallError::NoUpstream;
     endWith(aCall, aCall.mayHaveRun ? CallError::UpstreamFailed : error);
     return;
@@ -93,6 +98,7 @@
     return;
   }
   call->exchange = 0;
+  call->isSent = aResult.mayHaveRun;
   if (aResult.error) {
     onFailure(*call, aResult);
   } else {
@@ -121,7 +127,14 @@
     onShed(aCall);
     return;
   }
-  endAttempt(aCall, CallEnd::Answered);
+  const bool isError = aResponse.status >= kFirstErrorStatus;
+  endAttempt(aCall, isError ? CallEnd::ErrorAnswer : CallEnd::Answered);
+  if (isError && mayTryAgain(aCall)) {
+    aCall.stage = CallStage::Waiting;
+    aCall.lastAnswer = aResponse;
+    send(aCall);
+    return;
+  }
   endWithAnswer(aCall, aResponse);
 }
 
@@ -131,6 +144,7 @@
   endAttempt(aCall, CallEnd::Shed);
   if (aCall.isOrder()) {
     mTables.orders.markNotSent(aCall.claim.sequence);
+    aCall.isSent = false;
   }
   const bool isFirst = !aCall.wasShed;
   aCall.wasShed = true;
@@ -215,6 +229,15 @@
   }
 }
 
+bool
+EntryWorker::mayTryAgain(const Call& aCall)
+{
+  const bool isInTime =
+    aCall.stage == CallStage::Sending && mTimers.now() < aCall.deadline;
+  return !(aCall.isOrder() && aCall.isSent) && isInTime &&
+         aCall.attempts < kMostAttempts && mRetryBudget.take(1.0, mTimers.now());
+}
+
 void
 EntryWorker::retryOrEnd(Call& aCall, CallError aError)
 {
@@ -222,11 +245,7 @@
   if (isSuspect) {
     logEvent(LogEvent::SuspectStopped, { { "service", aCall.route->service } });
   }
-  const bool isForbidden = (aCall.isOrder() && aCall.mayHaveRun) || isSuspect;
-  const bool isInTime =
-    aCall.stage == CallStage::Sending && mTimers.now() < aCall.deadline;
-  if (isForbidden || !isInTime || aCall.attempts >= kMostAttempts ||
-      !mRetryBudget.take(1.0, mTimers.now())) {
+  if (isSuspect || !mayTryAgain(aCall)) {
     endWith(aCall, aError);
     return;
   }
--- a/tests/integration/AnswerTest.cpp
+++ b/tests/integration/AnswerTest.cpp
@@ -117,3 +117,30 @@
   // Recorded answers are held to 32 MiB, and 16 pipelined calls to half a MB each way.
   CHECK(residentMiB(system.entry(0).pid()) - before < 64);
 }
+
+TEST_CASE("a lookup that one upstream answers with an error is tried at another")
+{
+  SystemPlan plan;
+  plan.vms = 1;
+  plan.services = { { "orders", 1, 4 }, { "lookup", 2, 4 } };
+  TestSystem system(plan);
+  REQUIRE(system.start());
+  system.setUpstream(1, "failing=1");
+  for (int i = 0; i < 20; ++i) {
+    const auto response =
+      system.call(0, makeRequest("GET", "/lookup/" + std::to_string(i)));
+    REQUIRE(response.has_value());
+    CHECK(response->status == 200);
+  }
+  // Where all fail, the caller gets the answer that there is; an order is never retried.
+  system.setUpstream(2, "failing=1");
+  system.setUpstream(0, "failing=1");
+  const auto lookup = system.call(0, makeRequest("GET", "/lookup/x"));
+  REQUIRE(lookup.has_value());
+  CHECK(lookup->status == 500);
+  CHECK(outcomeOf(*lookup) == "answered");
+  const auto order =
+    system.call(0, makeRequest("POST", "/orders", { { "Idempotency-Key", "e" } }, "x"));
+  REQUIRE(order.has_value());
+  CHECK(order->status == 500);
+}
