--- a/bench/EntryBench.cpp
+++ b/bench/EntryBench.cpp
@@ -1,36 +1,21 @@
 #include "LoadRun.h"
+#include "ProcessCost.h"
 #include "TestSystem.h"
 #include <QCoreApplication>
-#include <QFile>
 #include <cstdio>
-#include <unistd.h>
 
 // bench-entry: one entry process between a load and one service, against direct calls
 // in the same run. Prints calls per second of processor time, and the added latency at
 // a fixed open-loop rate. Usage: bench-entry [calls/s] [seconds] [seed]
 
 using namespace masticwall;
+using namespace masticwall::bench;
 using namespace masticwall::test;
 
 namespace {
 
 constexpr int kUpstreams = 4;
 
-/** The processor time that a process has used so far, in seconds. */
-double
-processorSeconds(qint64 aPid)
-{
-  QFile file(QStringLiteral("/proc/%1/stat").arg(aPid));
-  if (!file.open(QIODevice::ReadOnly)) {
-    return 0.0;
-  }
-  const auto fields = file.readAll().split(')').last().split(' ');
-  constexpr int kUser = 12; // after the name: utime and stime
-  constexpr int kSystem = 13;
-  const auto ticks = fields.at(kUser).toDouble() + fields.at(kSystem).toDouble();
-  return ticks / static_cast<double>(sysconf(_SC_CLK_TCK));
-}
-
 LoadCall
 makeLookup(std::uint64_t aIndex, std::mt19937_64& /*aRandom*/)
 {
@@ -96,9 +81,9 @@
   const auto direct = summarize(directRun.run(seconds, makeLookup));
   LoadRun throughRun({ { system.vmHost(0), TestSystem::kCallerPort } }, rate, seed);
   throughRun.run(1s, makeLookup);
-  const auto before = processorSeconds(system.entry(0).pid());
+  const auto before = ProcessCost::of(system.entry(0).pid()).processorSeconds;
   const auto results = throughRun.run(seconds, makeLookup);
-  const auto used = processorSeconds(system.entry(0).pid()) - before;
+  const auto used = ProcessCost::of(system.entry(0).pid()).processorSeconds - before;
   const auto through = summarize(results);
   std::printf("rate=%.0f/s seconds=%lld seed=%llu calls=%zu answered=%zu\n",
               rate,
--- a/tests/harness/TestSystem.cpp
+++ b/tests/harness/TestSystem.cpp
@@ -331,10 +331,28 @@
 
 void
 TestSystem::appendConfig(const std::string& aData)
+{
+  append("masticwall-config", aData);
+}
+
+void
+TestSystem::appendClaims(const std::string& aData)
+{
+  append("masticwall-claims-0", aData);
+}
+
+void
+TestSystem::append(const std::string& aStream, const std::string& aData)
 {
   callOnce(address(kLogHost),
            kStandinPort,
-           makeRequest("POST", "/streams/masticwall-config", {}, aData));
+           makeRequest("POST", "/streams/" + aStream, {}, aData));
+}
+
+void
+TestSystem::putVmList(const std::string& aList)
+{
+  callOnce(address(kVmListHost), kStandinPort, makeRequest("PUT", "/vms", {}, aList));
 }
 
 QJsonObject
--- a/tests/harness/TestSystem.h
+++ b/tests/harness/TestSystem.h
@@ -72,6 +72,11 @@
   /** The oldest configuration record that the log still keeps. */
   qint64 firstConfigOffset();
   void appendConfig(const std::string& aData);
+  void appendClaims(const std::string& aData);
+
+  /** The list that the VMs see; and sets it, until the next publishVmList(). */
+  QByteArray vmListFor(int aVm) const;
+  void putVmList(const std::string& aList);
 
   /** The state dump of a VM's entry process. */
   QJsonObject entryState(int aVm);
@@ -117,7 +122,7 @@
   QString logUrl() const;
   QString vmListUrl(int aVm) const;
   QStringList ctlArguments() const;
-  QByteArray vmListFor(int aVm) const;
+  void append(const std::string& aStream, const std::string& aData);
   QStringList commonArguments(int aVm) const;
   void startUpstreams();
   void startUpstreamProxy(int aIndex);
