Make the cost of a change that of what changed: route index, section cache, feed deltas

Ruled out: reading less often (6 s to be in force everywhere). Change: RouteIndex (hash by method and path prefix); PresetAssembler keeps what it has read by section; the feed carries only newer sections; the VM list is fetched with If-None-Match; ProbePlan keeps a queue by time; upstreams are grouped by service. A section must hold what its name says. Admission: a stale start interval is forgotten, a rank may always have three calls waiting, and keeps its credit while its queue is empty.

--- a/libs/control/src/ConfigFollower.cpp
+++ b/libs/control/src/ConfigFollower.cpp
@@ -89,7 +89,7 @@
 {
   const auto state = mTables.config.state();
   if (!state.inForce.empty()) {
-    auto parse = parseSections(state.sectionsOf(state.inForce));
+    auto parse = mAssembler.assemble(state.sectionsOf(state.inForce));
     auto preset = std::make_shared<Preset>(std::move(parse.preset));
     preset->name = state.inForce;
     preset->version = state.versionInForce();
--- a/libs/control/src/ConfigFollower.h
+++ b/libs/control/src/ConfigFollower.h
@@ -4,6 +4,7 @@
 #include "StreamReader.h"
 #include <map>
 #include <messages/ConfigRecordMessage.h>
+#include <settings/PresetAssembler.h>
 
 namespace masticwall {
 
@@ -35,6 +36,7 @@
   LogClient mLog;
   StreamReader mReader;
   std::map<SectionKey, std::int64_t> mWrittenAtMs; ///< newest copy on the log
+  PresetAssembler mAssembler;
   TimerSubscription mRefresh;
 };
 
--- a/libs/control/src/FeedServer.cpp
+++ b/libs/control/src/FeedServer.cpp
@@ -66,17 +66,29 @@
          !mSuspects.empty();
 }
 
+void
+FeedServer::addSections(const FeedRequest& aHave, Feed& aFeed) const
+{
+  const auto state = mTables.config.state();
+  aFeed.version = state.versionInForce();
+  aFeed.preset = state.inForce;
+  aFeed.isDelta = aHave.version >= state.switchVersion;
+  for (const auto& [key, section] : state.sections) {
+    const bool isNew = !aFeed.isDelta || section.version > aHave.version;
+    if (key.preset == state.inForce && isNew) {
+      aFeed.sections[key.section] = section.text;
+    }
+  }
+}
+
 void
 FeedServer::reply(const FeedRequest& aHave, const PeerServer::Reply& aReply)
 {
   Feed feed;
-  const auto state = mTables.config.state();
-  const auto preset = mTables.presets.current();
   feed.version = aHave.version;
+  const auto preset = mTables.presets.current();
   if (preset != nullptr && preset->version > aHave.version) {
-    feed.version = state.versionInForce();
-    feed.preset = state.inForce;
-    feed.sections = state.sectionsOf(state.inForce);
+    addSections(aHave, feed);
   }
   feed.revision = mTables.membership.revision();
   if (feed.revision != aHave.revision) {
--- a/libs/control/src/FeedServer.h
+++ b/libs/control/src/FeedServer.h
@@ -37,6 +37,7 @@
   };
 
   bool hasNews(const FeedRequest& aHave) const;
+  void addSections(const FeedRequest& aHave, Feed& aFeed) const;
   void reply(const FeedRequest& aHave, const PeerServer::Reply& aReply);
 
   TimerService& mTimers;
--- a/libs/control/src/Prober.cpp
+++ b/libs/control/src/Prober.cpp
@@ -34,17 +34,29 @@
   if (preset == nullptr) {
     return;
   }
-  std::map<std::string, Vm> upstreams;
+  takeList(preset->measuring);
+  for (const auto& it : mPlan.takeDue(preset->measuring, mTimers.now())) {
+    probe(mUpstreams[it]);
+  }
+}
+
+void
+Prober::takeList(const MeasuringBudget& aBudget)
+{
+  const auto revision = mTables.membership.revision();
+  if (revision == mRevision) {
+    return;
+  }
+  mRevision = revision;
+  mUpstreams.clear();
   std::vector<std::string> names;
-  for (const auto& it : mTables.membership.current()) {
+  for (auto& it : mTables.membership.current()) {
     if (it.role == VmRole::Upstream && !it.leaving) {
       names.push_back(it.name);
-      upstreams[it.name] = it;
+      mUpstreams[it.name] = std::move(it);
     }
   }
-  for (const auto& it : mPlan.takeDue(names, preset->measuring, mTimers.now())) {
-    probe(upstreams[it]);
-  }
+  mPlan.setUpstreams(names, aBudget, mTimers.now());
 }
 
 void
--- a/libs/control/src/Prober.h
+++ b/libs/control/src/Prober.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <http/BackPool.h>
 #include <runtime/TimerService.h>
+#include <unordered_map>
 
 namespace masticwall {
 
@@ -22,6 +23,7 @@
 
 private:
   void probeDue();
+  void takeList(const MeasuringBudget& aBudget);
   void probe(const Vm& aVm);
 
   TimerService& mTimers;
@@ -29,6 +31,8 @@
   OnLeaving mOnLeaving;
   http::BackPool mPool;
   ProbePlan mPlan;
+  std::unordered_map<std::string, Vm> mUpstreams; ///< by name
+  std::uint64_t mRevision = 0;                    ///< of the list in `mUpstreams`
   TimerSubscription mTick;
 };
 
--- a/libs/control/src/VmListFollower.cpp
+++ b/libs/control/src/VmListFollower.cpp
@@ -1,5 +1,6 @@
 #include "VmListFollower.h"
 #include <messages/VmListMessage.h>
+#include <platform/PlatformError.h>
 #include <telemetry/EventLog.h>
 
 namespace masticwall {
@@ -34,7 +35,8 @@
 void
 VmListFollower::onList(const Result<QByteArray>& aText)
 {
-  noteReachable(aText.has_value());
+  const bool isSame = aText.has_error() && aText.error() == PlatformError::NotModified;
+  noteReachable(aText.has_value() || isSame);
   if (aText.has_error()) {
     return;
   }
--- a/libs/decide/include/decide/AdmissionQueue.h
+++ b/libs/decide/include/decide/AdmissionQueue.h
@@ -50,6 +50,7 @@
   std::array<CallerQueue, kRankCount> mWaiting;
   std::array<double, kRankCount> mCredit{};
   std::array<Duration, kRankCount> mStartInterval{};
+  std::array<Instant, kRankCount> mIntervalAt{}; ///< when the interval was last seen
   std::array<Instant, kRankCount> mLastStart{};
   int mLimit = 1;
   int mInFlight = 0;
--- a/libs/decide/include/decide/Preset.h
+++ b/libs/decide/include/decide/Preset.h
@@ -7,6 +7,7 @@
 #include <decide/MeasuringBudget.h>
 #include <decide/RankPolicy.h>
 #include <decide/Route.h>
+#include <decide/RouteIndex.h>
 #include <decide/Service.h>
 #include <vector>
 
@@ -23,6 +24,10 @@
   LinkBudget link;
   std::vector<Service> services;
   std::vector<Route> routes;
+  RouteIndex routeIndex; ///< of `routes`; see indexRoutes()
+
+  /** To be called once the routes are complete. */
+  void indexRoutes() { routeIndex = RouteIndex(routes); }
 };
 
 } // namespace masticwall
--- a/libs/decide/include/decide/ProbePlan.h
+++ b/libs/decide/include/decide/ProbePlan.h
@@ -4,6 +4,7 @@
 #include <decide/MeasuringBudget.h>
 #include <map>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace masticwall {
@@ -22,14 +23,20 @@
   {
   }
 
-  /** The upstreams, of those listed, that are due; each counts as probed at `aNow`. */
-  std::vector<std::string> takeDue(const std::vector<std::string>& aUpstreams,
-                                   const MeasuringBudget& aBudget,
-                                   Instant aNow);
+  /** Takes the list of upstreams in force; those that stay keep their times. */
+  void setUpstreams(const std::vector<std::string>& aUpstreams,
+                    const MeasuringBudget& aBudget,
+                    Instant aNow);
+
+  /** The upstreams that are due; each counts as probed at `aNow`. */
+  std::vector<std::string> takeDue(const MeasuringBudget& aBudget, Instant aNow);
 
 private:
+  static Duration periodOf(const MeasuringBudget& aBudget);
+
   double mPhase;
-  std::map<std::string, Instant> mNext;
+  std::unordered_map<std::string, Instant> mDue;
+  std::multimap<Instant, std::string> mQueue; ///< the same, by time
 };
 
 } // namespace masticwall
--- a/libs/decide/src/AdmissionQueue.cpp
+++ b/libs/decide/src/AdmissionQueue.cpp
@@ -12,6 +12,12 @@
 constexpr int kForeseenNumerator = 1;
 constexpr int kForeseenDenominator = 2;
 
+/** So many calls of a rank may always wait: a small floor's queue must not run empty. */
+constexpr std::int64_t kAlwaysWaiting = 3;
+
+/** How fast a rank starts is foreseen from starts no older than this. */
+constexpr Duration kIntervalLife = std::chrono::seconds(1);
+
 /** A caller gives up places only to callers with less than this part of its own. */
 constexpr std::size_t kNoisyFactor = 2;
 
@@ -91,6 +97,9 @@
 {
   const auto rank = indexOf(aTicket.rank);
   const auto ahead = static_cast<std::int64_t>(mWaiting[rank].size()) + 1;
+  if (ahead <= kAlwaysWaiting || aNow - mIntervalAt[rank] > kIntervalLife) {
+    return false;
+  }
   const auto wait = mStartInterval[rank] * ahead;
   const auto allowed = std::min(mPolicies[rank].target, aTicket.deadline - aNow);
   return wait > allowed * kForeseenNumerator / kForeseenDenominator;
@@ -125,11 +134,9 @@
 AdmissionQueue::earnFloors()
 {
   for (std::size_t rank = 0; rank < kRankCount; ++rank) {
-    if (mWaiting[rank].size() == 0) {
-      mCredit[rank] = 0.0;
-      continue;
+    if (mWaiting[rank].size() > 0) {
+      mCredit[rank] = std::min(kMaxCredit, mCredit[rank] + mPolicies[rank].floor);
     }
-    mCredit[rank] = std::min(kMaxCredit, mCredit[rank] + mPolicies[rank].floor);
   }
 }
 
@@ -139,7 +146,12 @@
   auto& last = mLastStart[aRank];
   if (last != Instant{}) {
     const auto interval = std::min(aNow - last, mPolicies[aRank].target);
-    mStartInterval[aRank] += (interval - mStartInterval[aRank]) / kIntervalWeight;
+    const bool isFirst = aNow - mIntervalAt[aRank] > kIntervalLife;
+    mStartInterval[aRank] =
+      isFirst
+        ? interval
+        : mStartInterval[aRank] + (interval - mStartInterval[aRank]) / kIntervalWeight;
+    mIntervalAt[aRank] = aNow;
   }
   // An idle stretch says nothing of how fast a queue drains.
   last = mWaiting[aRank].size() > 0 ? aNow : Instant{};
--- a/libs/decide/tests/MeasuringTest.cpp
+++ b/libs/decide/tests/MeasuringTest.cpp
@@ -16,11 +16,12 @@
   plans.reserve(kVms);
   for (int i = 0; i < kVms; ++i) {
     plans.emplace_back(static_cast<double>(i) / kVms);
+    plans.back().setUpstreams({ "u" }, budget, time.now());
   }
   int probes = 0;
   for (int tick = 0; tick < 2000; ++tick) {
     for (auto& plan : plans) {
-      probes += static_cast<int>(plan.takeDue({ "u" }, budget, time.now()).size());
+      probes += static_cast<int>(plan.takeDue(budget, time.now()).size());
     }
     time.advance(50ms);
   }
@@ -34,10 +35,11 @@
   ProbePlan plan(0.0);
   const MeasuringBudget budget{ 1.0, 1 };
   test::VirtualTime time;
-  plan.takeDue({ "u" }, budget, time.now());
+  plan.setUpstreams({ "u" }, budget, time.now());
+  plan.takeDue(budget, time.now());
   time.advance(60s);
-  CHECK(plan.takeDue({ "u" }, budget, time.now()).size() == 1);
-  CHECK(plan.takeDue({ "u" }, budget, time.now()).empty());
+  CHECK(plan.takeDue(budget, time.now()).size() == 1);
+  CHECK(plan.takeDue(budget, time.now()).empty());
 }
 
 TEST_CASE("a rendezvous owner moves only if it leaves")
--- a/libs/decide/tests/RouteMatcherTest.cpp
+++ b/libs/decide/tests/RouteMatcherTest.cpp
@@ -13,6 +13,7 @@
   preset.routes.push_back({ "GET", "/orders", "orders", Rank::Standard, true, 1s });
   preset.routes.push_back({ "GET", "/orders/bulk", "bulk", Rank::Bulk, true, 1s });
   preset.routes.push_back({ "POST", "/orders", "orders", Rank::Urgent, false, 1s });
+  preset.indexRoutes();
   return preset;
 }
 
@@ -33,5 +34,7 @@
   CHECK(serviceOf(preset, "GET", "/orders/bulk/7") == "bulk");
   CHECK(serviceOf(preset, "GET", "/orders/bulky") == "orders");
   CHECK(serviceOf(preset, "GET", "/ordersx") == "no-route");
+  CHECK(serviceOf(preset, "GET", "/orders/") == "orders");
+  CHECK(serviceOf(preset, "GET", "/") == "no-route");
   CHECK(serviceOf(preset, "PUT", "/orders") == "no-route");
 }
--- a/libs/entry/src/EntryDaemon.cpp
+++ b/libs/entry/src/EntryDaemon.cpp
@@ -6,7 +6,7 @@
 #include <entry/EntryDaemon.h>
 #include <random>
 #include <runtime/WorkerThread.h>
-#include <settings/PresetFile.h>
+#include <settings/PresetAssembler.h>
 #include <telemetry/EventLog.h>
 #include <telemetry/OperatorServer.h>
 
@@ -100,6 +100,8 @@
   EntryTables tables;
   EntryHub hub;
   ControlLink control;
+  PresetSections sections; ///< of the preset in force
+  PresetAssembler assembler;
   std::unique_ptr<PeerOrders> peers;
   std::unique_ptr<OperatorServer> operators;
   std::vector<std::unique_ptr<WorkerThread>> threads;
@@ -184,15 +186,20 @@
 void
 EntryDaemon::Impl::onFeed(const Feed& aFeed)
 {
+  bool isChanged = false;
   if (!aFeed.vms.empty()) {
-    tables.membership.putList(aFeed.vms);
+    isChanged = tables.membership.putList(aFeed.vms);
   }
   if (!aFeed.sections.empty()) {
     putPreset(aFeed);
+    isChanged = true;
   }
   for (const auto& it : aFeed.suspects) {
     tables.suspects.merge(it.request, it.reporter, it.deaths, timers.now());
   }
+  if (!isChanged) {
+    return;
+  }
   applyTables();
   if (isListedAsLeaving() && !tables.isLeaving) {
     requestStop();
@@ -212,7 +219,13 @@
 void
 EntryDaemon::Impl::putPreset(const Feed& aFeed)
 {
-  auto parse = parseSections(aFeed.sections);
+  if (!aFeed.isDelta) {
+    sections.clear();
+  }
+  for (const auto& [name, text] : aFeed.sections) {
+    sections[name] = text;
+  }
+  auto parse = assembler.assemble(sections);
   if (!parse.isValid()) {
     logEvent(LogEvent::PresetInvalid, { { "preset", aFeed.preset } });
     return;
--- a/libs/entry/src/PeerOrders.cpp
+++ b/libs/entry/src/PeerOrders.cpp
@@ -1,6 +1,5 @@
 #include "PeerOrders.h"
 #include "CallNumber.h"
-#include <algorithm>
 #include <core/CallError.h>
 #include <messages/ClaimIdMessage.h>
 #include <messages/Paths.h>
@@ -120,11 +119,8 @@
 PeerClient*
 PeerOrders::clientOf(const std::string& aVm)
 {
-  const auto list = mTables.membership.current();
-  const auto vm = std::find_if(list.begin(), list.end(), [&](const Vm& aListed) {
-    return aListed.name == aVm && aListed.role == VmRole::Masticwall;
-  });
-  if (vm == list.end()) {
+  const auto vm = mTables.membership.findMasticwall(aVm);
+  if (!vm.has_value()) {
     mClients.erase(aVm);
     return nullptr;
   }
--- a/libs/messages/include/messages/Feed.h
+++ b/libs/messages/include/messages/Feed.h
@@ -31,6 +31,7 @@
   std::uint64_t version = 0;
   std::string preset;                          ///< empty if not newer
   std::map<std::string, std::string> sections; ///< of the preset, by name
+  bool isDelta = false; ///< `sections` are only those newer than what the entry has
   std::uint64_t revision = 0;
   VmList vms; ///< empty if not newer
   std::vector<Suspect> suspects;
--- a/libs/messages/src/Feed.cpp
+++ b/libs/messages/src/Feed.cpp
@@ -113,6 +113,7 @@
   writer.number(Field::Version, aFeed.version);
   writer.text(Field::Preset, aFeed.preset);
   writer.put(Field::Sections, sections);
+  writer.flag(Field::IsDelta, aFeed.isDelta);
   writer.number(Field::Revision, aFeed.revision);
   writer.put(Field::Vms, vms);
   writer.put(Field::Suspects, suspects);
@@ -127,6 +128,7 @@
   feed.version = reader.number(Field::Version);
   feed.preset = reader.text(Field::Preset);
   feed.revision = reader.number(Field::Revision);
+  feed.isDelta = reader.flag(Field::IsDelta);
   for (const auto& it : reader.array(Field::Sections)) {
     CborReader section(it);
     feed.sections[section.text(Field::Section)] = section.text(Field::Text);
--- a/libs/messages/src/Field.h
+++ b/libs/messages/src/Field.h
@@ -45,6 +45,7 @@
   Leaving = 38,
   Deaths = 39,
   Suspects = 40,
+  IsDelta = 41,
 };
 
 } // namespace masticwall
--- a/libs/platform/include/platform/PlatformError.h
+++ b/libs/platform/include/platform/PlatformError.h
@@ -9,6 +9,7 @@
 {
   Unreachable = 1, ///< no answer; an append may have taken effect
   Refused,         ///< answered with another status than success
+  NotModified,     ///< the answer is what was fetched last
   BadAnswer,       ///< answered with something that is not of the published form
 };
 
@@ -16,9 +17,10 @@
 struct EnumTable<PlatformError>
 {
   static constexpr const char* kCategory = "platform";
-  static constexpr std::array<EnumName<PlatformError>, 3> kEntries{ {
+  static constexpr std::array<EnumName<PlatformError>, 4> kEntries{ {
     { PlatformError::Unreachable, "unreachable" },
     { PlatformError::Refused, "refused" },
+    { PlatformError::NotModified, "not-modified" },
     { PlatformError::BadAnswer, "bad-answer" },
   } };
 };
--- a/libs/platform/src/PlatformHttp.cpp
+++ b/libs/platform/src/PlatformHttp.cpp
@@ -7,6 +7,8 @@
 
 namespace {
 
+constexpr int kNotModified = 304;
+
 QNetworkRequest
 plainRequest(const QUrl& aUrl, Duration aTimeout)
 {
@@ -34,6 +36,9 @@
   if (!status.isValid()) {
     return PlatformError::Unreachable;
   }
+  if (status.toInt() == kNotModified) {
+    return PlatformError::NotModified;
+  }
   if (status.toInt() != 200) {
     return PlatformError::Refused;
   }
@@ -51,6 +56,25 @@
   watch(mNetwork.get(plainRequest(aUrl, aTimeout)), std::move(aDone));
 }
 
+void
+PlatformHttp::getIfChanged(const QUrl& aUrl,
+                           QByteArray& aTag,
+                           Duration aTimeout,
+                           Done aDone)
+{
+  auto request = plainRequest(aUrl, aTimeout);
+  if (!aTag.isEmpty()) {
+    request.setRawHeader("If-None-Match", aTag);
+  }
+  auto* const reply = mNetwork.get(request);
+  QObject::connect(reply, &QNetworkReply::finished, reply, [reply, &aTag] {
+    if (reply->error() == QNetworkReply::NoError && reply->hasRawHeader("ETag")) {
+      aTag = reply->rawHeader("ETag");
+    }
+  });
+  watch(reply, std::move(aDone));
+}
+
 void
 PlatformHttp::post(const QUrl& aUrl,
                    const QByteArray& aBody,
--- a/libs/platform/src/PlatformHttp.h
+++ b/libs/platform/src/PlatformHttp.h
@@ -19,6 +19,9 @@
   using Done = std::function<void(Result<QByteArray>)>;
 
   void get(const QUrl& aUrl, Duration aTimeout, Done aDone);
+
+  /** As get(), but fails with NotModified if the answer's entity tag is `aTag`. */
+  void getIfChanged(const QUrl& aUrl, QByteArray& aTag, Duration aTimeout, Done aDone);
   void post(const QUrl& aUrl, const QByteArray& aBody, Duration aTimeout, Done aDone);
 
 private:
--- a/libs/platform/src/VmListClient.cpp
+++ b/libs/platform/src/VmListClient.cpp
@@ -6,6 +6,7 @@
 struct VmListClient::Impl
 {
   QUrl url;
+  QByteArray tag; ///< of the list that was fetched last
   PlatformHttp http;
 };
 
@@ -21,7 +22,7 @@
 void
 VmListClient::fetch(Duration aTimeout, Done aDone)
 {
-  mImpl->http.get(mImpl->url, aTimeout, std::move(aDone));
+  mImpl->http.getIfChanged(mImpl->url, mImpl->tag, aTimeout, std::move(aDone));
 }
 
 } // namespace masticwall
--- a/libs/settings/include/settings/SectionsAreValid.h
+++ b/libs/settings/include/settings/SectionsAreValid.h
@@ -1,17 +1,24 @@
 #pragma once
 
-#include <settings/PresetFile.h>
+#include <memory>
+#include <settings/PresetAssembler.h>
 
 namespace masticwall {
 
-/** The SectionsValidator of presets: depends on the text and this version's rules alone.
+/**
+ * The SectionsValidator of presets: depends on the text and this version's rules alone.
+ * Keeps what it has read. Not thread-safe.
  */
-struct SectionsAreValid
+class SectionsAreValid
 {
+public:
   bool operator()(const PresetSections& aSections) const
   {
-    return parseSections(aSections).isValid();
+    return mAssembler->assemble(aSections).isValid();
   }
+
+private:
+  std::shared_ptr<PresetAssembler> mAssembler = std::make_shared<PresetAssembler>();
 };
 
 } // namespace masticwall
--- /dev/null
+++ b/libs/settings/src/PresetAssembler.cpp
@@ -0,0 +1,72 @@
+#include "PresetReader.h"
+#include <decide/SectionKey.h>
+#include <settings/PresetAssembler.h>
+
+namespace masticwall {
+
+namespace {
+
+/** A section holds what its name says: "general" no service, "service/x" just x. */
+void
+checkSectionName(const std::string& aName, PresetParse& aParse)
+{
+  const std::string prefix(kServiceSectionPrefix);
+  const auto& services = aParse.preset.services;
+  if (aName == kGeneralSection) {
+    if (!services.empty()) {
+      aParse.problems.push_back({ aName, 0, "no service in this section" });
+    }
+    return;
+  }
+  const bool isNamed = services.size() == 1 && aName == prefix + services[0].name;
+  if (!isNamed) {
+    aParse.problems.push_back({ aName, 0, "just the service that the section names" });
+  }
+}
+
+void
+append(PresetParse& aWhole, const PresetParse& aPart)
+{
+  auto& preset = aWhole.preset;
+  const auto& part = aPart.preset;
+  preset.services.insert(
+    preset.services.end(), part.services.begin(), part.services.end());
+  preset.routes.insert(preset.routes.end(), part.routes.begin(), part.routes.end());
+  aWhole.problems.insert(
+    aWhole.problems.end(), aPart.problems.begin(), aPart.problems.end());
+}
+
+} // namespace
+
+PresetParse
+PresetAssembler::assemble(const PresetSections& aSections)
+{
+  PresetParse whole;
+  const auto general = aSections.find(kGeneralSection);
+  if (general != aSections.end()) {
+    whole = read(general->first, general->second);
+  }
+  for (const auto& [name, text] : aSections) {
+    if (name != kGeneralSection) {
+      append(whole, read(name, text));
+    }
+  }
+  checkRoutes(whole.preset.routes, whole.problems);
+  whole.preset.indexRoutes();
+  return whole;
+}
+
+const PresetParse&
+PresetAssembler::read(const std::string& aName, const std::string& aText)
+{
+  auto& fragment = mFragments[aName];
+  if (fragment.text != aText || fragment.text.empty()) {
+    fragment.text = aText;
+    fragment.parse = {};
+    readPresetText(aText, aName, fragment.parse);
+    checkSectionName(aName, fragment.parse);
+  }
+  return fragment.parse;
+}
+
+} // namespace masticwall
--- a/libs/settings/src/PresetFile.cpp
+++ b/libs/settings/src/PresetFile.cpp
@@ -1,6 +1,7 @@
-#include "TomlReader.h"
-#include <algorithm>
+#include "PresetReader.h"
+#include "Toml.h"
 #include <decide/SectionKey.h>
+#include <settings/PresetAssembler.h>
 #include <settings/PresetFile.h>
 #include <sstream>
 
@@ -8,162 +9,6 @@
 
 namespace {
 
-constexpr std::int64_t kMostBytes = 64LL * 1024 * 1024;
-
-void
-readRanks(TomlReader& aReader, Preset& aPreset, std::vector<PresetProblem>& aProblems)
-{
-  TomlReader ranks(aReader.table("ranks"), aReader.pathOf("ranks"), aProblems);
-  double floors = 0.0;
-  for (const auto& it : EnumTable<Rank>::kEntries) {
-    const std::string name(it.name);
-    auto& policy = aPreset.ranks[indexOf(it.value)];
-    TomlReader rank(ranks.table(name.c_str()), ranks.pathOf(name), aProblems);
-    policy.target = rank.milliseconds("target_ms", policy.target);
-    policy.floor = rank.number("floor", policy.floor, 0.0, 1.0);
-    policy.worth = rank.number("worth", policy.worth, 0.0, 1e9);
-    floors += policy.floor;
-    rank.finish();
-  }
-  if (floors > 1.0) {
-    ranks.report("floor", nullptr, "floors of all ranks that add up to 1 at most");
-  }
-  ranks.finish();
-}
-
-void
-readLimits(const toml::table& aTable,
-           const std::string& aPath,
-           Limits& aLimits,
-           std::vector<PresetProblem>& aProblems)
-{
-  TomlReader reader(aTable, aPath, aProblems);
-  const auto size = [&](const char* aKey, std::size_t aDefault, std::int64_t aMost) {
-    return static_cast<std::size_t>(
-      reader.integer(aKey, static_cast<std::int64_t>(aDefault), 1, aMost));
-  };
-  aLimits.maxHeaderBytes = size("max_header_bytes", aLimits.maxHeaderBytes, kMostBytes);
-  aLimits.maxBodyBytes = size("max_body_bytes", aLimits.maxBodyBytes, kMostBytes);
-  aLimits.connectionsPerUpstream =
-    static_cast<int>(size("connections_per_upstream", 15, 1000));
-  aLimits.queueLength = size("queue_length", aLimits.queueLength, 100'000);
-  aLimits.overcommit = reader.number("overcommit", aLimits.overcommit, 0.1, 100.0);
-  aLimits.retryBudget = reader.number("retry_budget", aLimits.retryBudget, 0.0, 1.0);
-  aLimits.choice = reader.name("choice", aLimits.choice);
-  reader.finish();
-}
-
-void
-readBudgets(TomlReader& aReader, Preset& aPreset, std::vector<PresetProblem>& aProblems)
-{
-  TomlReader measuring(
-    aReader.table("measuring"), aReader.pathOf("measuring"), aProblems);
-  aPreset.measuring.probesPerSecond =
-    measuring.number("probes_per_second", aPreset.measuring.probesPerSecond, 0.0, 1000.0);
-  aPreset.measuring.vms =
-    static_cast<int>(measuring.integer("vms", aPreset.measuring.vms, 1, 100'000));
-  measuring.finish();
-  TomlReader link(aReader.table("link"), aReader.pathOf("link"), aProblems);
-  aPreset.link.bytesPerSecond =
-    link.number("bytes_per_second", aPreset.link.bytesPerSecond, 0.0, 1e12);
-  aPreset.link.urgentReserve =
-    link.number("urgent_reserve", aPreset.link.urgentReserve, 0.0, 1.0);
-  link.finish();
-}
-
-Route
-readRoute(const toml::table& aTable,
-          const std::string& aPath,
-          const std::string& aService,
-          std::vector<PresetProblem>& aProblems)
-{
-  TomlReader reader(aTable, aPath, aProblems);
-  Route route;
-  route.service = aService;
-  route.method = reader.text("method");
-  route.path = reader.text("path");
-  if (!route.path.empty() && !route.path.starts_with('/')) {
-    reader.report("path", aTable.get("path"), "a path that begins with '/'");
-  }
-  route.rank = reader.name("rank", route.rank);
-  route.idempotent = reader.flag("idempotent", route.idempotent);
-  route.deadline = reader.milliseconds("deadline_ms", route.deadline);
-  reader.finish();
-  return route;
-}
-
-void
-readService(const toml::table& aTable,
-            const std::string& aPath,
-            Preset& aPreset,
-            std::vector<PresetProblem>& aProblems)
-{
-  TomlReader reader(aTable, aPath, aProblems);
-  Service service;
-  service.name = reader.text("name");
-  service.slots = static_cast<int>(reader.integer("slots", service.slots, 1, 10'000));
-  const bool isKnown =
-    std::any_of(aPreset.services.begin(),
-                aPreset.services.end(),
-                [&](const auto& aOther) { return aOther.name == service.name; });
-  if (isKnown) {
-    reader.report("name", aTable.get("name"), "a name that no other service has");
-  }
-  std::size_t n = 0;
-  for (const auto* const it : reader.tables("route")) {
-    const auto path = reader.pathOf("route[" + std::to_string(n++) + "]");
-    aPreset.routes.push_back(readRoute(*it, path, service.name, aProblems));
-  }
-  reader.finish();
-  aPreset.services.push_back(std::move(service));
-}
-
-void
-checkRoutes(const Preset& aPreset, std::vector<PresetProblem>& aProblems)
-{
-  for (auto it = aPreset.routes.begin(); it != aPreset.routes.end(); ++it) {
-    const bool isRepeated =
-      std::any_of(aPreset.routes.begin(), it, [&](const Route& aOther) {
-        return aOther.method == it->method && aOther.path == it->path;
-      });
-    if (isRepeated) {
-      aProblems.push_back({ "route " + it->method + ' ' + it->path,
-                            0,
-                            "a method and path that no other route has" });
-    }
-  }
-}
-
-void
-readText(std::string_view aText, const std::string& aPath, PresetParse& aParse)
-{
-  const auto parsed = toml::parse(aText);
-  if (!parsed) {
-    const auto& error = parsed.error();
-    aParse.problems.push_back(
-      { aPath, error.source().begin.line, "TOML: " + std::string(error.description()) });
-    return;
-  }
-  TomlReader reader(parsed.table(), aPath, aParse.problems);
-  aParse.preset.name = reader.textOr("name", aParse.preset.name);
-  if (parsed.table().contains("ranks")) {
-    readRanks(reader, aParse.preset, aParse.problems);
-  }
-  if (parsed.table().contains("limits")) {
-    readLimits(reader.table("limits"),
-               reader.pathOf("limits"),
-               aParse.preset.limits,
-               aParse.problems);
-  }
-  readBudgets(reader, aParse.preset, aParse.problems);
-  std::size_t n = 0;
-  for (const auto* const it : reader.tables("service")) {
-    const auto path = reader.pathOf("service[" + std::to_string(n++) + "]");
-    readService(*it, path, aParse.preset, aParse.problems);
-  }
-  reader.finish();
-}
-
 std::string
 toText(const toml::table& aTable)
 {
@@ -178,23 +23,19 @@
 parsePreset(std::string_view aText)
 {
   PresetParse parse;
-  readText(aText, "", parse);
+  readPresetText(aText, "", parse);
   if (parse.preset.name.empty() && parse.problems.empty()) {
     parse.problems.push_back({ "name", 0, "a non-empty string" });
   }
-  checkRoutes(parse.preset, parse.problems);
+  checkRoutes(parse.preset.routes, parse.problems);
+  parse.preset.indexRoutes();
   return parse;
 }
 
 PresetParse
 parseSections(const PresetSections& aSections)
 {
-  PresetParse parse;
-  for (const auto& [name, text] : aSections) {
-    readText(text, name, parse);
-  }
-  checkRoutes(parse.preset, parse.problems);
-  return parse;
+  return PresetAssembler().assemble(aSections);
 }
 
 PresetSections
--- a/libs/tables/include/tables/MembershipTable.h
+++ b/libs/tables/include/tables/MembershipTable.h
@@ -3,6 +3,7 @@
 #include <core/OrderedMutex.h>
 #include <decide/Vm.h>
 #include <map>
+#include <optional>
 
 namespace masticwall {
 
@@ -22,6 +23,9 @@
   /** The list, with `leaving` set as known. */
   VmList current() const;
 
+  /** The VM of masticwall called `aName`, or nothing. */
+  std::optional<Vm> findMasticwall(const std::string& aName) const;
+
   /** Rises by one with every change. */
   std::uint64_t revision() const;
 
--- a/libs/tables/src/MembershipTable.cpp
+++ b/libs/tables/src/MembershipTable.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <tables/MembershipTable.h>
 
 namespace masticwall {
@@ -39,6 +40,16 @@
   return list;
 }
 
+std::optional<Vm>
+MembershipTable::findMasticwall(const std::string& aName) const
+{
+  std::scoped_lock lock(mMutex);
+  const auto it = std::find_if(mList.begin(), mList.end(), [&](const Vm& aVm) {
+    return aVm.role == VmRole::Masticwall && aVm.name == aName;
+  });
+  return it == mList.end() ? std::nullopt : std::optional(*it);
+}
+
 std::uint64_t
 MembershipTable::revision() const
 {
--- a/libs/tables/src/UpstreamTable.cpp
+++ b/libs/tables/src/UpstreamTable.cpp
@@ -19,14 +19,12 @@
   mMaxInFlight = aPreset.limits.connectionsPerUpstream;
   mLink = aPreset.link;
   mLinkBucket.configure(mLink.bytesPerSecond, mLink.bytesPerSecond);
+  std::unordered_map<std::string_view, std::vector<UpstreamAddress>> byService;
+  for (const auto& it : aAddresses) {
+    byService[it.service].push_back(it);
+  }
   for (const auto& service : aPreset.services) {
-    std::vector<UpstreamAddress> members;
-    for (const auto& it : aAddresses) {
-      if (it.service == service.name) {
-        members.push_back(it);
-      }
-    }
-    mPools[service.name].update(members, service.slots, aNow);
+    mPools[service.name].update(byService[service.name], service.slots, aNow);
   }
 }
 
--- a/tests/standins/VmListMain.cpp
+++ b/tests/standins/VmListMain.cpp
@@ -37,8 +37,15 @@
     while (mVersions.size() > 1 && mVersions[1].at <= before) {
       mVersions.pop_front();
     }
-    aResponder->respond(
-      standin::okResponse(QByteArray::fromStdString(mVersions.front().text)));
+    const auto& version = mVersions.front();
+    const auto tag = '"' + std::to_string(std::hash<std::string>()(version.text)) + '"';
+    if (http::findHeader(aRequest.headers, "If-None-Match") == tag) {
+      aResponder->respond({ 304, { { "ETag", tag } }, {}, true });
+      return;
+    }
+    auto response = standin::okResponse(QByteArray::fromStdString(version.text));
+    response.headers.push_back({ "ETag", tag });
+    aResponder->respond(std::move(response));
   }
 
 private:
