--- a/libs/entry/src/EntryDaemon.cpp
+++ b/libs/entry/src/EntryDaemon.cpp
@@ -165,7 +165,7 @@
 EntryDaemon::Impl::startOperators()
 {
   OperatorPages pages;
-  pages.state = [this] { return dumpState(tables, control.isConnected(), workers); };
+  pages.state = [this] { return dumpState(tables, control.isConnected()); };
   pages.metrics = [this] { return tables.statistics.toMetrics(); };
   pages.isLeaving = [this] { return tables.isLeaving.load(); };
   pages.drain = [this] {
--- a/libs/entry/src/EntryTables.h
+++ b/libs/entry/src/EntryTables.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "WorkerGauges.h"
 #include <atomic>
 #include <core/Bytes.h>
 #include <http/Response.h>
@@ -24,6 +25,7 @@
     : settings(aSettings)
     , incarnation(aIncarnation)
     , upstreams(aSettings.common.region, aIncarnation)
+    , gauges(static_cast<std::size_t>(aSettings.workers))
   {
   }
 
@@ -36,6 +38,7 @@
   OrderTable<http::Response> orders{ kMostAnswerBytes };
   SuspectTable suspects;
   CallStatistics statistics;
+  std::vector<WorkerGauges> gauges; ///< by worker
   std::atomic<std::uint64_t> nextClaim{ 1 };
   std::atomic<bool> isLeaving{ false };
 };
--- a/libs/entry/src/EntryWorker.cpp
+++ b/libs/entry/src/EntryWorker.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr double kRetryBurst = 10.0;
+constexpr Duration kGaugePeriod = std::chrono::milliseconds(250);
 
 } // namespace
 
@@ -33,6 +34,8 @@
     return front.error();
   }
   worker->mFront = std::move(front.value());
+  worker->mGaugeTimer =
+    raw->mTimers.subscribeEvery(kGaugePeriod, [raw] { raw->updateGauges(); });
   return worker;
 }
 
@@ -92,6 +95,15 @@
   return it == mCalls.end() ? nullptr : it->second.get();
 }
 
+void
+EntryWorker::updateGauges()
+{
+  auto& gauges = mTables.gauges[mIndex];
+  gauges.calls = mCalls.size();
+  gauges.callerConnections = mFront->connectionCount();
+  gauges.upstreamConnections = mBack.connectionCount();
+}
+
 void
 EntryWorker::erase(std::uint64_t aCall)
 {
--- a/libs/entry/src/EntryWorker.h
+++ b/libs/entry/src/EntryWorker.h
@@ -43,10 +43,6 @@
   void closeIdle(Duration aIdleFor);
   bool isDrained() const;
 
-  std::size_t callCount() const { return mCalls.size(); }
-  std::size_t callerConnections() const { return mFront->connectionCount(); }
-  std::size_t upstreamConnections() const { return mBack.connectionCount(); }
-
 private:
   EntryWorker(EntryHub& aHub, std::uint32_t aIndex);
 
@@ -90,6 +86,7 @@
   void leaveAdmission(Call& aCall);
   void startNext(const std::string& aService);
   void erase(std::uint64_t aCall);
+  void updateGauges();
   Call* find(std::uint64_t aCall);
 
   EntryHub& mHub;
@@ -101,6 +98,7 @@
   std::unordered_map<std::uint64_t, std::unique_ptr<Call>> mCalls;
   std::uint64_t mNextCall = 1;
   TokenBucket mRetryBudget;
+  TimerSubscription mGaugeTimer;
 };
 
 } // namespace masticwall
--- a/libs/entry/src/StateDump.cpp
+++ b/libs/entry/src/StateDump.cpp
@@ -47,12 +47,24 @@
   return list;
 }
 
+QJsonArray
+dumpWorkers(const EntryTables& aTables)
+{
+  QJsonArray list;
+  for (const auto& it : aTables.gauges) {
+    list.append(QJsonObject{
+      { QStringLiteral("calls"), static_cast<qint64>(it.calls) },
+      { QStringLiteral("callerConnections"), static_cast<qint64>(it.callerConnections) },
+      { QStringLiteral("upstreamConnections"),
+        static_cast<qint64>(it.upstreamConnections) } });
+  }
+  return list;
+}
+
 } // namespace
 
 QJsonObject
-dumpState(const EntryTables& aTables,
-          bool aIsControlConnected,
-          const std::vector<std::unique_ptr<EntryWorker>>& aWorkers)
+dumpState(const EntryTables& aTables, bool aIsControlConnected)
 {
   const auto preset = aTables.presets.current();
   return QJsonObject{
@@ -61,7 +73,7 @@
     { QStringLiteral("incarnation"), static_cast<qint64>(aTables.incarnation) },
     { QStringLiteral("leaving"), aTables.isLeaving.load() },
     { QStringLiteral("controlConnected"), aIsControlConnected },
-    { QStringLiteral("workers"), static_cast<qint64>(aWorkers.size()) },
+    { QStringLiteral("workers"), dumpWorkers(aTables) },
     { QStringLiteral("preset"), preset == nullptr ? QString() : toText(preset->name) },
     { QStringLiteral("version"),
       preset == nullptr ? 0 : static_cast<qint64>(preset->version) },
