--- a/libs/entry/src/EntryDaemon.cpp
+++ b/libs/entry/src/EntryDaemon.cpp
@@ -1,12 +1,10 @@
 #include "EntryHub.h"
 #include "EntryWorker.h"
+#include "FeedIntake.h"
 #include "StateDump.h"
-#include <algorithm>
-#include <cmath>
 #include <entry/EntryDaemon.h>
 #include <random>
 #include <runtime/WorkerThread.h>
-#include <settings/PresetAssembler.h>
 #include <telemetry/EventLog.h>
 #include <telemetry/OperatorServer.h>
 
@@ -29,29 +27,6 @@
   return value >> 1U; // fits the signed integers of the messages' codec
 }
 
-std::vector<UpstreamAddress>
-upstreamsOf(const VmList& aList)
-{
-  std::vector<UpstreamAddress> addresses;
-  for (const auto& it : aList) {
-    if (it.role == VmRole::Upstream) {
-      addresses.push_back(
-        { it.name, it.service, it.region, it.host, it.port, it.instance });
-    }
-  }
-  return addresses;
-}
-
-int
-entriesIn(const VmList& aList, const std::string& aRegion)
-{
-  int n = 0;
-  for (const auto& it : aList) {
-    n += it.role == VmRole::Masticwall && !it.leaving && it.region == aRegion ? 1 : 0;
-  }
-  return std::max(1, n);
-}
-
 } // namespace
 
 struct EntryDaemon::Impl
@@ -60,6 +35,7 @@
     : tables(aSettings, makeIncarnation())
     , hub{ tables, context, nullptr, nullptr, {} }
     , control(timers, tables.settings)
+    , feed(tables)
     , ended(std::move(aEnded))
   {
     hub.control = &control;
@@ -86,9 +62,6 @@
   Result<void> startWorkers();
   Result<void> startOperators();
   void onFeed(const Feed& aFeed);
-  void putPreset(const Feed& aFeed);
-  void applyTables();
-  bool isListedAsLeaving() const;
   void requestStop();
   void stopAccepting();
   void checkDrained();
@@ -100,8 +73,7 @@
   EntryTables tables;
   EntryHub hub;
   ControlLink control;
-  PresetSections sections; ///< of the preset in force
-  PresetAssembler assembler;
+  FeedIntake feed;
   std::unique_ptr<PeerOrders> peers;
   std::unique_ptr<OperatorServer> operators;
   std::vector<std::unique_ptr<WorkerThread>> threads;
@@ -186,88 +158,15 @@
 void
 EntryDaemon::Impl::onFeed(const Feed& aFeed)
 {
-  bool isChanged = false;
-  if (!aFeed.vms.empty()) {
-    isChanged = tables.membership.putList(aFeed.vms);
-  }
-  if (!aFeed.sections.empty()) {
-    putPreset(aFeed);
-    isChanged = true;
-  }
-  for (const auto& it : aFeed.suspects) {
-    tables.suspects.merge(it.request, it.reporter, it.deaths, timers.now());
-  }
-  if (!isChanged) {
+  if (!feed.take(aFeed, timers.now())) {
     return;
   }
-  applyTables();
-  if (isListedAsLeaving() && !tables.isLeaving) {
+  onEachWorker([](EntryWorker& aWorker) { aWorker.onPreset(); });
+  if (feed.isListedAsLeaving() && !tables.isLeaving) {
     requestStop();
   }
 }
 
-bool
-EntryDaemon::Impl::isListedAsLeaving() const
-{
-  const auto& common = tables.settings.common;
-  const auto list = tables.membership.current();
-  return std::any_of(list.begin(), list.end(), [&](const Vm& aVm) {
-    return aVm.name == common.vm && aVm.instance == common.instance && aVm.leaving;
-  });
-}
-
-void
-EntryDaemon::Impl::putPreset(const Feed& aFeed)
-{
-  if (!aFeed.isDelta) {
-    sections.clear();
-  }
-  for (const auto& [name, text] : aFeed.sections) {
-    sections[name] = text;
-  }
-  auto parse = assembler.assemble(sections);
-  if (!parse.isValid()) {
-    logEvent(LogEvent::PresetInvalid, { { "preset", aFeed.preset } });
-    return;
-  }
-  auto preset = std::make_shared<Preset>(std::move(parse.preset));
-  preset->name = aFeed.preset;
-  preset->version = aFeed.version;
-  if (tables.presets.put(preset)) {
-    logEvent(LogEvent::PresetInForce,
-             { { "preset", preset->name }, { "version", preset->version } });
-  }
-}
-
-void
-EntryDaemon::Impl::applyTables()
-{
-  const auto preset = tables.presets.current();
-  if (preset == nullptr) {
-    return;
-  }
-  const auto list = tables.membership.current();
-  const auto& region = tables.settings.common.region;
-  const auto addresses = upstreamsOf(list);
-  tables.upstreams.update(*preset, addresses, timers.now());
-  for (const auto& it : list) {
-    if (it.role == VmRole::Upstream && it.leaving) {
-      tables.upstreams.markLeaving(
-        { it.name, it.service, it.region, it.host, it.port, it.instance });
-    }
-  }
-  const auto entries = entriesIn(list, region);
-  for (const auto& it : preset->services) {
-    const auto share =
-      preset->limits.overcommit * tables.upstreams.slotsIn(it.name, region) / entries;
-    tables.admission.configure(it.name,
-                               preset->ranks,
-                               static_cast<int>(std::ceil(share)),
-                               preset->limits.queueLength);
-  }
-  onEachWorker([](EntryWorker& aWorker) { aWorker.onPreset(); });
-}
-
 void
 EntryDaemon::Impl::requestStop()
 {
