Keep the clients of other VMs in one place

Cause: PeerOrders and PeerNotices each kept clients by VM in the same way. Measured: OrderTest and PoisonTest pass as before.

--- a/bench/PolicyBench.cpp
+++ b/bench/PolicyBench.cpp
@@ -38,6 +38,7 @@
 median(const std::vector<ScenarioReport>& aReports, Get aGet)
 {
   std::vector<double> values;
+  values.reserve(aReports.size());
   for (const auto& it : aReports) {
     values.push_back(aGet(it));
   }
@@ -77,6 +78,7 @@
       });
     };
     std::vector<double> p99s;
+    p99s.reserve(reports.size());
     for (const auto& report : reports) {
       p99s.push_back(report.ranks[indexOf(it.value)].addedP99);
     }
--- a/bench/ScenarioRun.cpp
+++ b/bench/ScenarioRun.cpp
@@ -114,6 +114,7 @@
 toBoundCalls(const std::vector<LoadResult>& aResults, Instant aStart)
 {
   std::vector<SharedQueueCall> calls;
+  calls.reserve(aResults.size());
   for (const auto& it : aResults) {
     calls.push_back({ it.dueAt - aStart, serviceOf(it.request) });
   }
@@ -210,6 +211,7 @@
     rate += it * kCapacity;
   }
   std::vector<LoadRun::Target> targets;
+  targets.reserve(kVms);
   for (int i = 0; i < kVms; ++i) {
     targets.push_back({ aSystem.vmHost(i), TestSystem::kCallerPort });
   }
--- a/libs/control/src/PeerNotices.cpp
+++ b/libs/control/src/PeerNotices.cpp
@@ -9,8 +9,8 @@
 } // namespace
 
 PeerNotices::PeerNotices(TimerService& aTimers, ControlTables& aTables)
-  : mTimers(aTimers)
-  , mTables(aTables)
+  : mTables(aTables)
+  , mClients(aTimers)
 {
 }
 
@@ -35,8 +35,8 @@
     if (it.role != VmRole::Masticwall || it.name == mTables.settings.common.vm) {
       continue;
     }
-    clientOf(it).request(
-      aPath, aBody, kTimeout, [aOnReply, all](const Result<QByteArray>& aReply) {
+    mClients.of(it.name, it.host, it.controlPort)
+      .request(aPath, aBody, kTimeout, [aOnReply, all](const Result<QByteArray>& aReply) {
         if (aReply.has_value()) {
           aOnReply(aReply.value());
         }
@@ -44,19 +44,4 @@
   }
 }
 
-PeerClient&
-PeerNotices::clientOf(const Vm& aVm)
-{
-  auto& known = mClients[aVm.name];
-  if (known.client == nullptr || known.host != aVm.host ||
-      known.port != aVm.controlPort) {
-    known = { aVm.host,
-              aVm.controlPort,
-              std::make_unique<PeerClient>(mTimers,
-                                           QHostAddress(QString::fromStdString(aVm.host)),
-                                           aVm.controlPort) };
-  }
-  return *known.client;
-}
-
 } // namespace masticwall
--- a/libs/control/src/PeerNotices.h
+++ b/libs/control/src/PeerNotices.h
@@ -1,8 +1,7 @@
 #pragma once
 
 #include "ControlTables.h"
-#include <map>
-#include <peer/PeerClient.h>
+#include <peer/PeerClients.h>
 #include <runtime/TimerService.h>
 
 namespace masticwall {
@@ -30,18 +29,8 @@
     std::function<void()> aDone = [] {});
 
 private:
-  struct Client
-  {
-    std::string host;
-    std::uint16_t port = 0;
-    std::unique_ptr<PeerClient> client;
-  };
-
-  PeerClient& clientOf(const Vm& aVm);
-
-  TimerService& mTimers;
   ControlTables& mTables;
-  std::map<std::string, Client> mClients;
+  PeerClients mClients;
 };
 
 } // namespace masticwall
--- a/libs/entry/src/PeerOrders.cpp
+++ b/libs/entry/src/PeerOrders.cpp
@@ -46,6 +46,7 @@
 PeerOrders::PeerOrders(TimerService& aTimers, EntryTables& aTables)
   : mTimers(aTimers)
   , mTables(aTables)
+  , mClients(aTimers)
 {
 }
 
@@ -121,17 +122,10 @@
 {
   const auto vm = mTables.membership.findMasticwall(aVm);
   if (!vm.has_value()) {
-    mClients.erase(aVm);
+    mClients.forget(aVm);
     return nullptr;
   }
-  auto& known = mClients[aVm];
-  if (known.client == nullptr || known.host != vm->host || known.port != vm->port) {
-    known = { vm->host,
-              vm->port,
-              std::make_unique<PeerClient>(
-                mTimers, QHostAddress(QString::fromStdString(vm->host)), vm->port) };
-  }
-  return known.client.get();
+  return &mClients.of(aVm, vm->host, vm->port);
 }
 
 } // namespace masticwall
--- a/libs/entry/src/PeerOrders.h
+++ b/libs/entry/src/PeerOrders.h
@@ -4,7 +4,7 @@
 #include <functional>
 #include <map>
 #include <messages/OrderReport.h>
-#include <peer/PeerClient.h>
+#include <peer/PeerClients.h>
 #include <peer/PeerServer.h>
 #include <runtime/TimerService.h>
 
@@ -38,17 +38,10 @@
              const PeerServer::Reply& aReply);
   PeerClient* clientOf(const std::string& aVm);
 
-  struct Client
-  {
-    std::string host;
-    std::uint16_t port = 0;
-    std::unique_ptr<PeerClient> client;
-  };
-
   TimerService& mTimers;
   EntryTables& mTables;
   std::unique_ptr<PeerServer> mServer;
-  std::map<std::string, Client> mClients; ///< by VM
+  PeerClients mClients;
   std::map<std::uint64_t, PeerServer::Reply> mWaiting;
   std::uint64_t mNextWaiter = 1;
 };
--- /dev/null
+++ b/libs/peer/src/PeerClients.cpp
@@ -0,0 +1,16 @@
+#include <peer/PeerClients.h>
+
+namespace masticwall {
+
+PeerClient&
+PeerClients::of(const std::string& aVm, const std::string& aHost, std::uint16_t aPort)
+{
+  auto& entry = mClients[aVm];
+  if (entry.client == nullptr || entry.host != aHost || entry.port != aPort) {
+    const QHostAddress address(QString::fromStdString(aHost));
+    entry = { aHost, aPort, std::make_unique<PeerClient>(mTimers, address, aPort) };
+  }
+  return *entry.client;
+}
+
+} // namespace masticwall
