Tell notices once, ask one peer at a time, read upstreams' signs in one place

Cause, found on reading: every VM passed every leaving notice on to every other (the square of their number in messages), and while the log is down every VM asked all others for the whole configuration each second. The prober read an upstream's sign by its own copy of the header's name. Change: whoever learns of a leaving VM first-hand tells all; one peer drawn at random is asked, and sends its state only if it is newer; UpstreamSigns moved to libs/messages, which entry and control share. Ruled out: leaving the passing-on as a second way for notices; answers, probes and the list are the others.

--- a/libs/control/src/ControlDaemon.cpp
+++ b/libs/control/src/ControlDaemon.cpp
@@ -21,7 +21,7 @@
 
 namespace {
 
-constexpr Duration kAskPeersPeriod = std::chrono::seconds(1);
+constexpr Duration kAskPeerPeriod = std::chrono::seconds(1);
 constexpr Duration kDrainCheckPeriod = std::chrono::milliseconds(100);
 
 /** The entry process asks at least once a second while it lives. */
@@ -66,10 +66,13 @@
              const PeerServer::Reply& aReply);
   void serveClaim(const QByteArray& aBody, const PeerServer::Reply& aReply);
   void serveRelease(const QByteArray& aBody, const PeerServer::Reply& aReply);
-  void onLeavingNotice(const QByteArray& aBody);
+  void serveConfigState(const QByteArray& aBody, const PeerServer::Reply& aReply);
+  void onLeavingNotice(const QByteArray& aBody, bool aIsFirstHand);
   void onSuspect(const QByteArray& aBody, const PeerServer::Reply& aReply);
-  void markLeaving(const std::string& aVm, const std::string& aInstance);
-  void askPeers();
+  void markLeaving(const std::string& aVm,
+                   const std::string& aInstance,
+                   bool aIsFirstHand = true);
+  void askPeer();
   void postToMain(std::function<void()> aTask);
   void requestStop();
   void checkDrained();
@@ -89,7 +92,7 @@
   std::unique_ptr<ClaimKeeper> claims;    ///< on its thread
   std::unique_ptr<Measuring> measuring;   ///< on its thread
   Ended ended;
-  TimerSubscription askPeersTimer;
+  TimerSubscription askPeerTimer;
   TimerSubscription drainTimer;
   TimerSubscription longestDrainTimer;
 };
@@ -99,7 +102,7 @@
 {
   BOOST_OUTCOME_TRYV(listen());
   startWorkers();
-  askPeersTimer = timers.subscribeEvery(kAskPeersPeriod, [this] { askPeers(); });
+  askPeerTimer = timers.subscribeEvery(kAskPeerPeriod, [this] { askPeer(); });
   const auto& settings = tables.settings;
   logEvent(LogEvent::Started,
            { { "vm", settings.common.vm },
@@ -175,10 +178,14 @@
     serveRelease(aBody, aReply);
     return;
   } else if (aPath == paths::kConfigState) {
-    aReply(encode(tables.config.state()));
+    serveConfigState(aBody, aReply);
     return;
   } else if (aPath == paths::kLeaving) {
-    onLeavingNotice(aBody);
+    onLeavingNotice(aBody, true);
+    aReply(QByteArray());
+    return;
+  } else if (aPath == paths::kPeerLeaving) {
+    onLeavingNotice(aBody, false);
     aReply(QByteArray());
     return;
   } else if (aPath == paths::kSuspect) {
@@ -217,24 +224,41 @@
 }
 
 void
-ControlDaemon::Impl::onLeavingNotice(const QByteArray& aBody)
+ControlDaemon::Impl::serveConfigState(const QByteArray& aBody,
+                                      const PeerServer::Reply& aReply)
+{
+  const auto have = decodeFeedRequest(aBody);
+  if (have.has_error()) {
+    aReply(std::nullopt);
+    return;
+  }
+  const bool isNewer = tables.config.version() > have.value().version;
+  aReply(isNewer ? encode(tables.config.state()) : QByteArray());
+}
+
+void
+ControlDaemon::Impl::onLeavingNotice(const QByteArray& aBody, bool aIsFirstHand)
 {
   const auto notice = decodeLeavingNotice(aBody);
   if (notice.has_value()) {
-    markLeaving(notice.value().vm, notice.value().instance);
+    markLeaving(notice.value().vm, notice.value().instance, aIsFirstHand);
   }
 }
 
 void
-ControlDaemon::Impl::markLeaving(const std::string& aVm, const std::string& aInstance)
+ControlDaemon::Impl::markLeaving(const std::string& aVm,
+                                 const std::string& aInstance,
+                                 bool aIsFirstHand)
 {
   if (!tables.membership.markLeaving(aVm, aInstance)) {
     return;
   }
   logEvent(LogEvent::VmLeaving, { { "vm", aVm }, { "instance", aInstance } });
   feed.onChange();
-  // Each VM passes it on once, so that it arrives whichever VM learnt it first.
-  notices.tellAll(paths::kLeaving, encode(LeavingNotice{ aVm, aInstance }));
+  // What a peer told is not passed on: it has told everyone itself.
+  if (aIsFirstHand) {
+    notices.tellAll(paths::kPeerLeaving, encode(LeavingNotice{ aVm, aInstance }));
+  }
 }
 
 void
@@ -260,12 +284,13 @@
 }
 
 void
-ControlDaemon::Impl::askPeers()
+ControlDaemon::Impl::askPeer()
 {
   if (tables.isConfigRead && tables.isLogReachable) {
     return;
   }
-  notices.askAll(paths::kConfigState, {}, [this](const QByteArray& aReply) {
+  const FeedRequest have{ tables.config.version(), 0 };
+  notices.askOne(paths::kConfigState, encode(have), [this](const QByteArray& aReply) {
     const auto state = decodeConfigState(aReply);
     if (state.has_value()) {
       configThread.post([this, state = state.value()] { config->merge(state); });
--- a/libs/control/src/PeerNotices.cpp
+++ b/libs/control/src/PeerNotices.cpp
@@ -1,4 +1,5 @@
 #include "PeerNotices.h"
+#include <core/RandomSource.h>
 
 namespace masticwall {
 
@@ -19,29 +20,40 @@
                      const QByteArray& aBody,
                      std::function<void()> aDone)
 {
-  askAll(
-    aPath, aBody, [](const QByteArray&) {}, std::move(aDone));
+  // Called when the last request lets go of it.
+  const std::shared_ptr<void> all(nullptr, [done = std::move(aDone)](void*) { done(); });
+  for (const auto& it : others()) {
+    mClients.of(it.name, it.host, it.controlPort)
+      .request(aPath, aBody, kTimeout, [all](const Result<QByteArray>&) {});
+  }
 }
 
 void
-PeerNotices::askAll(const std::string& aPath,
+PeerNotices::askOne(const std::string& aPath,
                     const QByteArray& aBody,
-                    const std::function<void(const QByteArray&)>& aOnReply,
-                    std::function<void()> aDone)
+                    const std::function<void(const QByteArray&)>& aOnReply)
 {
-  // Called when the last request lets go of it.
-  const std::shared_ptr<void> all(nullptr, [done = std::move(aDone)](void*) { done(); });
-  for (const auto& it : mTables.membership.current()) {
-    if (it.role != VmRole::Masticwall || it.name == mTables.settings.common.vm) {
-      continue;
-    }
-    mClients.of(it.name, it.host, it.controlPort)
-      .request(aPath, aBody, kTimeout, [aOnReply, all](const Result<QByteArray>& aReply) {
-        if (aReply.has_value()) {
-          aOnReply(aReply.value());
-        }
-      });
+  const auto list = others();
+  if (list.empty()) {
+    return;
   }
+  const auto& vm = list[randomIndex(mRandom, list.size())];
+  mClients.of(vm.name, vm.host, vm.controlPort)
+    .request(aPath, aBody, kTimeout, [aOnReply](const Result<QByteArray>& aReply) {
+      if (aReply.has_value()) {
+        aOnReply(aReply.value());
+      }
+    });
+}
+
+std::vector<Vm>
+PeerNotices::others() const
+{
+  auto list = mTables.membership.current();
+  std::erase_if(list, [this](const Vm& aVm) {
+    return aVm.role != VmRole::Masticwall || aVm.name == mTables.settings.common.vm;
+  });
+  return list;
 }
 
 } // namespace masticwall
--- a/libs/control/src/PeerNotices.h
+++ b/libs/control/src/PeerNotices.h
@@ -2,7 +2,9 @@
 
 #include "ControlTables.h"
 #include <peer/PeerClients.h>
+#include <random>
 #include <runtime/TimerService.h>
+#include <vector>
 
 namespace masticwall {
 
@@ -21,16 +23,17 @@
     const QByteArray& aBody,
     std::function<void()> aDone = [] {});
 
-  /** Asks every other VM; calls back for each reply. */
-  void askAll(
-    const std::string& aPath,
-    const QByteArray& aBody,
-    const std::function<void(const QByteArray&)>& aOnReply,
-    std::function<void()> aDone = [] {});
+  /** Asks one other VM, drawn at random; calls back if it replies. */
+  void askOne(const std::string& aPath,
+              const QByteArray& aBody,
+              const std::function<void(const QByteArray&)>& aOnReply);
 
 private:
+  std::vector<Vm> others() const;
+
   ControlTables& mTables;
   PeerClients mClients;
+  std::mt19937_64 mRandom{ std::random_device()() };
 };
 
 } // namespace masticwall
--- a/libs/control/src/Prober.cpp
+++ b/libs/control/src/Prober.cpp
@@ -1,4 +1,5 @@
 #include "Prober.h"
+#include <messages/UpstreamSigns.h>
 #include <random>
 
 namespace masticwall {
@@ -71,8 +72,7 @@
   exchange.request.headers.push_back({ "Host", aVm.host });
   exchange.timeout = kTimeout;
   exchange.done = [this, aVm](const http::BackResult& aResult) {
-    const auto leaving = http::findHeader(aResult.response.headers, "Upstream-Leaving");
-    if (!aResult.error && leaving == "1") {
+    if (!aResult.error && readSigns(aResult.response, mTimers.now()).isLeaving) {
       mOnLeaving(aVm);
     }
   };
--- a/libs/entry/src/CallerIdentity.cpp
+++ b/libs/entry/src/CallerIdentity.cpp
@@ -1,7 +1,7 @@
 #include "CallerIdentity.h"
-#include "HeaderNames.h"
 #include <QCryptographicHash>
 #include <algorithm>
+#include <messages/HeaderNames.h>
 
 namespace masticwall {
 
--- a/libs/entry/src/EntryWorkerArrival.cpp
+++ b/libs/entry/src/EntryWorkerArrival.cpp
@@ -1,11 +1,11 @@
 #include "CallNumber.h"
 #include "CallerIdentity.h"
 #include "EntryWorker.h"
-#include "HeaderNames.h"
 #include "OutcomeEncoding.h"
 #include <core/WallClock.h>
 #include <decide/RouteMatcher.h>
 #include <functional>
+#include <messages/HeaderNames.h>
 
 // The part of EntryWorker that takes calls in.
 namespace masticwall {
--- a/libs/entry/src/EntryWorkerSending.cpp
+++ b/libs/entry/src/EntryWorkerSending.cpp
@@ -1,9 +1,9 @@
 #include "CallerIdentity.h"
 #include "EntryWorker.h"
-#include "HeaderNames.h"
-#include "UpstreamSigns.h"
 #include <http/BackError.h>
 #include <http/ConnectProbe.h>
+#include <messages/HeaderNames.h>
+#include <messages/UpstreamSigns.h>
 #include <telemetry/EventLog.h>
 
 // The part of EntryWorker that sends calls to upstreams.
--- a/libs/entry/src/OutcomeEncoding.cpp
+++ b/libs/entry/src/OutcomeEncoding.cpp
@@ -1,6 +1,6 @@
 #include "OutcomeEncoding.h"
-#include "HeaderNames.h"
 #include <http/HttpError.h>
+#include <messages/HeaderNames.h>
 
 namespace masticwall {
 
--- a/libs/entry/src/UpstreamSigns.cpp
+++ b/libs/messages/src/UpstreamSigns.cpp
@@ -1,6 +1,6 @@
-#include "UpstreamSigns.h"
-#include "HeaderNames.h"
 #include <charconv>
+#include <messages/HeaderNames.h>
+#include <messages/UpstreamSigns.h>
 
 namespace masticwall {
 
--- a/tests/integration/ShutdownTest.cpp
+++ b/tests/integration/ShutdownTest.cpp
@@ -16,6 +16,8 @@
 {
   SystemPlan plan;
   plan.noticeMs = 2000;
+  // Slots enough that nothing is refused: what ends unanswered was cut off.
+  plan.services = { { "orders", 2, 16 }, { "lookup", 2, 16 } };
   return plan;
 }
 
