Do not take a dying upstream's last accepted connection for a sign of life

The entry judges a death by connecting to the upstream once its connection has ended; a process that is ending may still take that connection from its backlog and reset it, and was then taken for alive: its death was not counted. Ruled out: the sharing of counts (it is awaited before the caller is answered; the mutant without it is caught at once). Change: the probe's connection must last 50 ms. It costs 50 ms on calls whose connection was cut by a living upstream.

--- a/libs/http/include/http/ConnectProbe.h
+++ b/libs/http/include/http/ConnectProbe.h
@@ -8,7 +8,8 @@
 namespace masticwall::http {
 
 /**
- * Opens and closes a connection, to learn whether anything listens at the address.
+ * Opens a connection and sees whether it lasts, to learn whether a process that lives
+ * listens at the address.
  * Calls back once, later, on the calling thread.
  */
 void
--- a/libs/http/src/ConnectProbe.cpp
+++ b/libs/http/src/ConnectProbe.cpp
@@ -6,6 +6,12 @@
 
 namespace {
 
+/**
+ * A process that is ending may still take a connection for a moment, and then reset it:
+ * one that lasts so long was taken by a process that lives.
+ */
+constexpr Duration kLastingTime = std::chrono::milliseconds(50);
+
 /** A probe in progress; deletes itself once it has called back. */
 struct Probe
 {
@@ -44,7 +50,12 @@
       [probe, aIsListening] { probe->finish(aIsListening); },
       Qt::QueuedConnection);
   };
-  QObject::connect(&probe->socket, &QTcpSocket::connected, [end] { end(true); });
+  auto* const timers = &aTimers;
+  QObject::connect(
+    &probe->socket, &QTcpSocket::connected, [timers, end, raw = probe.get()] {
+      raw->timeout = timers->subscribeIn(kLastingTime, [end] { end(true); });
+    });
+  QObject::connect(&probe->socket, &QTcpSocket::disconnected, [end] { end(false); });
   QObject::connect(&probe->socket, &QTcpSocket::errorOccurred, [end] { end(false); });
   probe->timeout = aTimers.subscribeIn(aTimeout, [end] { end(false); });
   probe->socket.connectToHost(aHost, aPort);
--- /dev/null
+++ b/libs/http/tests/ConnectProbeTest.cpp
@@ -0,0 +1,48 @@
+#include <QEventLoop>
+#include <QTcpServer>
+#include <QTcpSocket>
+#include <catch2/catch.hpp>
+#include <http/ConnectProbe.h>
+
+using namespace masticwall;
+
+namespace {
+
+bool
+probe(std::uint16_t aPort)
+{
+  TimerService timers;
+  QEventLoop loop;
+  bool isListening = false;
+  http::probeConnect(
+    timers, QHostAddress(QHostAddress::LocalHost), aPort, 5s, [&](bool aIsListening) {
+      isListening = aIsListening;
+      loop.quit();
+    });
+  loop.exec();
+  return isListening;
+}
+
+} // namespace
+
+TEST_CASE("a process that listens is found alive, and where none listens it is not")
+{
+  QTcpServer server;
+  REQUIRE(server.listen(QHostAddress::LocalHost));
+  const auto port = server.serverPort();
+  CHECK(probe(port));
+  server.close();
+  CHECK_FALSE(probe(port));
+}
+
+TEST_CASE("a process that takes a connection while it ends is not found alive")
+{
+  QTcpServer server;
+  REQUIRE(server.listen(QHostAddress::LocalHost));
+  QObject::connect(&server, &QTcpServer::newConnection, &server, [&] {
+    auto* const socket = server.nextPendingConnection();
+    socket->abort();
+    socket->deleteLater();
+  });
+  CHECK_FALSE(probe(server.serverPort()));
+}
