Refuse connections before any is open, in the test of a refusing upstream

Cause: the second of two tools/test runs was red: OrderTest expected an order not to be answered while the proxy refuses new connections, but a connection opened shortly before may be alive and carry it, which is allowed; it ran once and was answered. Ruled out: a fault of the entry; outcome and ledger agreed. Change: the check, as strict as before, has a case of its own in a system without earlier connections. Measured: the two cases pass. The whole of tools/test was not run again after this.

--- a/tests/integration/OrderTest.cpp
+++ b/tests/integration/OrderTest.cpp
@@ -242,6 +242,16 @@
     CHECK(again == (outcome == "not-run" ? "answered" : outcome));
     CHECK(system.ledger().runsOf(key) <= 1);
   }
+}
+
+TEST_CASE("an order whose upstream takes no connection is not run")
+{
+  SystemPlan plan;
+  plan.proxiesUpstreams = true;
+  plan.services = { { "orders", 1, 4 } };
+  TestSystem system(plan);
+  REQUIRE(system.start());
+  // Before any call, so that no connection from earlier can carry the order.
   system.setUpstreamProxy(0, "refuse=1");
   CHECK(outcomeAt(system, 0, makeOrder("refused")) != "answered");
   CHECK(system.ledger().runsOf("refused") == 0);
