--- a/daemons/DaemonMain.h
+++ b/daemons/DaemonMain.h
@@ -16,10 +16,11 @@
 
 /** A daemon as a library: made from its settings, it calls back when it may end. */
 template<class D, class S>
-concept Daemon = DaemonSettings<S> && requires(D aDaemon, const S aSettings)
+concept Daemon = DaemonSettings<S> && requires(D aDaemon)
 {
-  D::create(aSettings, std::function<void(int)>());
+  D::create(*S::parse(0, nullptr).settings, std::function<void(int)>());
   aDaemon.requestStop();
+  aDaemon.reload();
 };
 
 /** Runs daemon `D` until it ends; returns the process's exit code. */
@@ -42,7 +43,11 @@
     return 1;
   }
   auto* const running = daemon.value().get();
-  const auto signals = SignalWatcher::create([running] { running->requestStop(); });
+  const auto signals = SignalWatcher::create([running] { running->requestStop(); },
+                                             [running] {
+                                               logEvent(LogEvent::ReloadRequested);
+                                               running->reload();
+                                             });
   if (signals.has_error()) {
     return 1;
   }
--- a/libs/control/include/control/ControlDaemon.h
+++ b/libs/control/include/control/ControlDaemon.h
@@ -29,6 +29,9 @@
    */
   void requestStop();
 
+  /** SIGHUP: has no effect, because the settings are flags and environment variables. */
+  void reload() {}
+
 private:
   struct Impl;
   explicit ControlDaemon(std::unique_ptr<Impl> aImpl);
--- a/libs/control/src/ClaimKeeper.cpp
+++ b/libs/control/src/ClaimKeeper.cpp
@@ -1,5 +1,5 @@
 #include "ClaimKeeper.h"
-#include <platform/StreamNames.h>
+#include <service/StreamNames.h>
 #include <telemetry/EventLog.h>
 
 namespace masticwall {
--- a/libs/control/src/ConfigFollower.cpp
+++ b/libs/control/src/ConfigFollower.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <core/WallClock.h>
 #include <decide/RendezvousHash.h>
-#include <platform/StreamNames.h>
+#include <service/StreamNames.h>
 #include <telemetry/EventLog.h>
 
 namespace masticwall {
--- a/libs/control/src/ControlDaemon.cpp
+++ b/libs/control/src/ControlDaemon.cpp
@@ -1,12 +1,13 @@
 #include "ClaimKeeper.h"
 #include "ConfigFollower.h"
+#include "ControlFeed.h"
 #include "ControlState.h"
-#include "FeedServer.h"
-#include "PeerNotices.h"
 #include "Prober.h"
 #include "VmListFollower.h"
 #include <QObject>
 #include <control/ControlDaemon.h>
+#include <feed/FeedServer.h>
+#include <feed/PeerNotices.h>
 #include <messages/ClaimIdMessage.h>
 #include <messages/ClaimMessage.h>
 #include <messages/ClaimVerdictMessage.h>
@@ -22,6 +23,8 @@
 namespace {
 
 constexpr Duration kAskPeerPeriod = std::chrono::seconds(1);
+/** A feed request without news is answered after so long. */
+constexpr Duration kLongestFeedWait = std::chrono::seconds(1);
 constexpr Duration kDrainCheckPeriod = std::chrono::milliseconds(100);
 
 /** The entry process asks at least once a second while it lives. */
@@ -42,8 +45,9 @@
 {
   Impl(const ControlSettings& aSettings, Ended aEnded)
     : tables(aSettings)
-    , feed(timers, tables)
-    , notices(timers, tables)
+    , contents(tables)
+    , feed(timers, contents, kLongestFeedWait)
+    , notices(timers, tables.membership, tables.settings.common.vm)
     , ended(std::move(aEnded))
   {
   }
@@ -81,7 +85,8 @@
   TimerService timers;
   QObject context; ///< lives on the main thread
   ControlTables tables;
-  FeedServer feed;
+  ControlFeed contents;
+  FeedServer<ControlFeed> feed;
   PeerNotices notices;
   std::unique_ptr<PeerServer> server;
   std::unique_ptr<OperatorServer> operators;
--- a/libs/control/src/StreamReader.h
+++ b/libs/control/src/StreamReader.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <platform/LogClient.h>
 #include <runtime/TimerService.h>
+#include <service/LogClient.h>
 
 namespace masticwall {
 
--- a/libs/control/src/VmListFollower.cpp
+++ b/libs/control/src/VmListFollower.cpp
@@ -1,6 +1,6 @@
 #include "VmListFollower.h"
 #include <messages/VmListMessage.h>
-#include <platform/PlatformError.h>
+#include <service/ServiceError.h>
 #include <telemetry/EventLog.h>
 
 namespace masticwall {
@@ -35,7 +35,7 @@
 void
 VmListFollower::onList(const Result<QByteArray>& aText)
 {
-  const bool isSame = aText.has_error() && aText.error() == PlatformError::NotModified;
+  const bool isSame = aText.has_error() && aText.error() == ServiceError::NotModified;
   noteReachable(aText.has_value() || isSame);
   if (aText.has_error()) {
     return;
--- a/libs/control/src/VmListFollower.h
+++ b/libs/control/src/VmListFollower.h
@@ -2,8 +2,8 @@
 
 #include "ControlTables.h"
 #include <functional>
-#include <platform/VmListClient.h>
 #include <runtime/TimerService.h>
+#include <service/VmListClient.h>
 
 namespace masticwall {
 
--- a/libs/ctl/src/ConfigSession.cpp
+++ b/libs/ctl/src/ConfigSession.cpp
@@ -6,7 +6,7 @@
 #include <algorithm>
 #include <core/WallClock.h>
 #include <messages/ConfigRecordMessage.h>
-#include <platform/StreamNames.h>
+#include <service/StreamNames.h>
 
 namespace masticwall {
 
--- a/libs/ctl/src/ConfigSession.h
+++ b/libs/ctl/src/ConfigSession.h
@@ -4,7 +4,7 @@
 #include "HistoryEntry.h"
 #include <core/Result.h>
 #include <decide/ConfigReplay.h>
-#include <platform/LogClient.h>
+#include <service/LogClient.h>
 #include <settings/SectionsAreValid.h>
 #include <vector>
 
--- a/libs/ctl/src/VmSession.cpp
+++ b/libs/ctl/src/VmSession.cpp
@@ -8,7 +8,7 @@
 #include <QUrl>
 #include <algorithm>
 #include <messages/VmListMessage.h>
-#include <platform/VmListClient.h>
+#include <service/VmListClient.h>
 
 namespace masticwall {
 
--- a/libs/decide/include/decide/ChoicePolicy.h
+++ b/libs/decide/include/decide/ChoicePolicy.h
@@ -12,16 +12,18 @@
   FewestInFlight,
   AgedLoad,
   SlotShare,
+  EstimatedLatency,
 };
 
 template<>
 struct EnumTable<ChoicePolicy>
 {
-  static constexpr std::array<EnumName<ChoicePolicy>, 4> kEntries{ {
+  static constexpr std::array<EnumName<ChoicePolicy>, 5> kEntries{ {
     { ChoicePolicy::Random, "random" },
     { ChoicePolicy::FewestInFlight, "fewest-in-flight" },
     { ChoicePolicy::AgedLoad, "aged-load" },
     { ChoicePolicy::SlotShare, "slot-share" },
+    { ChoicePolicy::EstimatedLatency, "estimated-latency" },
   } };
 };
 
--- /dev/null
+++ b/libs/decide/include/decide/EstimatedLatency.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <decide/LoadScore.h>
+#include <decide/Locality.h>
+
+namespace masticwall {
+
+/**
+ * Scores by the latency to expect, in seconds: the service's typical work, stretched by
+ * the host's present speed and by crowding, the wait for a slot, and the distance.
+ */
+struct EstimatedLatency
+{
+  const Locality& locality;
+  Duration typicalWork; ///< of a call in the service, without a wait
+
+  double operator()(const UpstreamState& aState, Instant aNow) const;
+};
+
+static_assert(LoadScore<EstimatedLatency>);
+
+} // namespace masticwall
--- a/libs/decide/include/decide/RouteIndex.h
+++ b/libs/decide/include/decide/RouteIndex.h
@@ -9,7 +9,9 @@
 
 namespace masticwall {
 
-/** Finds routes by method and path prefix in time that does not grow with their number.
+/**
+ * Finds routes by host, method and path prefix in time that does not grow with their
+ * number.
  */
 class RouteIndex
 {
@@ -18,10 +20,18 @@
   explicit RouteIndex(const std::vector<Route>& aRoutes);
 
   /** The place of the route with the longest prefix of `aPath`, in the list indexed. */
-  std::optional<std::size_t> find(std::string_view aMethod, std::string_view aPath) const;
+  std::optional<std::size_t> find(std::string_view aHost,
+                                  std::string_view aMethod,
+                                  std::string_view aPath) const;
 
 private:
-  std::unordered_map<std::string, std::size_t> mPlaces; ///< by method, space, path
+  std::optional<std::size_t> findExact(std::string_view aHost,
+                                       std::string_view aMethod,
+                                       std::string_view aPrefix) const;
+
+  std::unordered_map<std::string, std::size_t> mPlaces; ///< by host, method, path
+  bool mHasHosts = false;                               ///< some route names its host
+  bool mHasMethods = false;                             ///< some route names its method
 };
 
 } // namespace masticwall
--- a/libs/decide/include/decide/RouteMatcher.h
+++ b/libs/decide/include/decide/RouteMatcher.h
@@ -7,10 +7,14 @@
 namespace masticwall {
 
 /**
- * The route of a call: the longest path prefix with the call's method. Fails with
+ * The route of a call: the longest path prefix with the call's host and method, where
+ * the route names them. Fails with
  * CallError::NoRoute. The pointer lives as long as `aPreset`.
  */
 Result<const Route*>
-matchRoute(const Preset& aPreset, std::string_view aMethod, std::string_view aPath);
+matchRoute(const Preset& aPreset,
+           std::string_view aHost,
+           std::string_view aMethod,
+           std::string_view aPath);
 
 } // namespace masticwall
--- a/libs/decide/include/decide/UpstreamPool.h
+++ b/libs/decide/include/decide/UpstreamPool.h
@@ -5,6 +5,7 @@
 #include <decide/CallEnd.h>
 #include <decide/ChoicePolicy.h>
 #include <decide/Chooser.h>
+#include <decide/EstimatedLatency.h>
 #include <decide/FewestInFlight.h>
 #include <decide/SlotShare.h>
 #include <memory>
@@ -24,9 +25,9 @@
   void update(const std::vector<UpstreamAddress>& aAddresses, int aSlots, Instant aNow);
 
   /**
-   * Chooses an upstream of `aRegion` and counts a call on it; none if all are leaving,
-   * at `aMaxInFlight`, or named in `aExcluded`. Upstreams that back off are taken only
-   * when no other is left.
+   * Chooses an upstream of `aRegion` (empty: of any) and counts a call on it; none if all
+   * are leaving, at `aMaxInFlight`, or named in `aExcluded`. Upstreams that back off are
+   * taken only when no other is left.
    */
   template<RandomSource R>
   const UpstreamState* choose(ChoicePolicy aPolicy,
@@ -46,6 +47,38 @@
     return chosen;
   }
 
+  /**
+   * Chooses the upstream of any region with the lowest estimated latency and counts a
+   * call on it; none if even that is more than `aLongest`.
+   */
+  template<RandomSource R>
+  const UpstreamState* chooseNearest(const Locality& aLocality,
+                                     Duration aLongest,
+                                     int aMaxInFlight,
+                                     const std::vector<std::string>& aExcluded,
+                                     Instant aNow,
+                                     R& aRandom)
+  {
+    const auto candidates = eligible({}, aMaxInFlight, aExcluded, aNow);
+    const EstimatedLatency score{ aLocality, typicalWork() };
+    std::uniform_real_distribution<double> blur(1.0, kBlur);
+    UpstreamState* best = nullptr;
+    auto bestScore = std::chrono::duration<double>(aLongest).count() * kBlur;
+    for (auto* const it : candidates) {
+      // Processes that know the same must not all choose the same.
+      const auto value = score(*it, aNow) * blur(aRandom);
+      if (value < bestScore) {
+        best = it;
+        bestScore = value;
+      }
+    }
+    if (best != nullptr) {
+      ++best->inFlight;
+      noteTrial(*best, aNow);
+    }
+    return best;
+  }
+
   /** A call on `aName` ended. `aLatency` counts for answered calls only. */
   void finished(std::string_view aName, CallEnd aEnd, Duration aLatency, Instant aNow);
 
@@ -62,6 +95,8 @@
   std::vector<UpstreamState> snapshot() const;
 
 private:
+  static constexpr double kBlur = 1.2; ///< scores are taken up to this factor longer
+
   template<RandomSource R>
   static UpstreamState* pick(ChoicePolicy aPolicy,
                              Candidates aCandidates,
@@ -77,6 +112,8 @@
         return chooseBetterOfTwo(aCandidates, AgedLoad{}, aNow, aRandom);
       case ChoicePolicy::SlotShare:
         return chooseBetterOfTwo(aCandidates, SlotShare{}, aNow, aRandom);
+      case ChoicePolicy::EstimatedLatency:
+        break; // chosen by chooseNearest()
     }
     return chooseRandom(aCandidates, aRandom);
   }
@@ -85,6 +122,7 @@
                                        int aMaxInFlight,
                                        const std::vector<std::string>& aExcluded,
                                        Instant aNow);
+  Duration typicalWork() const;
   UpstreamState* find(std::string_view aName);
   bool isSlow(const UpstreamState& aState) const;
   void noteTrial(UpstreamState& aState, Instant aNow);
--- a/libs/decide/include/decide/UpstreamState.h
+++ b/libs/decide/include/decide/UpstreamState.h
@@ -12,6 +12,7 @@
   int slots = 1;
   int inFlight = 0; ///< calls from this process
   LoadReport load;
+  double meanLoad = 0.0; ///< running mean of reported calls over slots
   Duration meanLatency{ 0 };
   int samples = 0; ///< latencies in the mean
   Instant trialAt; ///< while slow: when it may be given one call again
--- a/libs/decide/include/decide/Vm.h
+++ b/libs/decide/include/decide/Vm.h
@@ -21,6 +21,8 @@
   std::uint16_t operatorPort = 0; ///< masticwall only: the control's operators' port
   std::string instance;           ///< changes when the VM is started anew
   bool leaving = false;
+  int slots = 0;       ///< upstreams only: calls run at a time; 0: as the service states
+  bool isCold = false; ///< upstreams only: it says that it is slow, having just started
 
   bool operator==(const Vm&) const = default;
 };
--- a/libs/decide/src/RouteIndex.cpp
+++ b/libs/decide/src/RouteIndex.cpp
@@ -5,9 +5,11 @@
 namespace {
 
 std::string
-keyOf(std::string_view aMethod, std::string_view aPath)
+keyOf(std::string_view aHost, std::string_view aMethod, std::string_view aPath)
 {
-  std::string key(aMethod);
+  std::string key(aHost);
+  key += ' ';
+  key += aMethod;
   key += ' ';
   key += aPath;
   return key;
@@ -34,20 +36,41 @@
 RouteIndex::RouteIndex(const std::vector<Route>& aRoutes)
 {
   for (std::size_t i = 0; i < aRoutes.size(); ++i) {
-    mPlaces.emplace(keyOf(aRoutes[i].method, aRoutes[i].path), i);
+    const auto& route = aRoutes[i];
+    mPlaces.emplace(keyOf(route.host, route.method, route.path), i);
+    mHasHosts = mHasHosts || !route.host.empty();
+    mHasMethods = mHasMethods || !route.method.empty();
   }
 }
 
 std::optional<std::size_t>
-RouteIndex::find(std::string_view aMethod, std::string_view aPath) const
+RouteIndex::find(std::string_view aHost,
+                 std::string_view aMethod,
+                 std::string_view aPath) const
 {
   for (auto path = withoutQuery(aPath); !path.empty(); path = shorten(path)) {
-    const auto it = mPlaces.find(keyOf(aMethod, path));
-    if (it != mPlaces.end()) {
-      return it->second;
+    if (mHasHosts) {
+      if (const auto place = findExact(aHost, aMethod, path)) {
+        return place;
+      }
+    }
+    if (const auto place = findExact({}, aMethod, path)) {
+      return place;
     }
   }
   return std::nullopt;
 }
 
+std::optional<std::size_t>
+RouteIndex::findExact(std::string_view aHost,
+                      std::string_view aMethod,
+                      std::string_view aPrefix) const
+{
+  auto it = mHasMethods ? mPlaces.find(keyOf(aHost, aMethod, aPrefix)) : mPlaces.end();
+  if (it == mPlaces.end()) {
+    it = mPlaces.find(keyOf(aHost, {}, aPrefix));
+  }
+  return it == mPlaces.end() ? std::nullopt : std::optional(it->second);
+}
+
 } // namespace masticwall
--- a/libs/decide/src/RouteMatcher.cpp
+++ b/libs/decide/src/RouteMatcher.cpp
@@ -4,9 +4,12 @@
 namespace masticwall {
 
 Result<const Route*>
-matchRoute(const Preset& aPreset, std::string_view aMethod, std::string_view aPath)
+matchRoute(const Preset& aPreset,
+           std::string_view aHost,
+           std::string_view aMethod,
+           std::string_view aPath)
 {
-  const auto place = aPreset.routeIndex.find(aMethod, aPath);
+  const auto place = aPreset.routeIndex.find(aHost, aMethod, aPath);
   if (!place.has_value()) {
     return CallError::NoRoute;
   }
--- a/libs/decide/src/UpstreamPool.cpp
+++ b/libs/decide/src/UpstreamPool.cpp
@@ -11,6 +11,8 @@
 constexpr Duration kColdPeriod = std::chrono::seconds(2);
 constexpr int kLatencyWeight = 8; ///< one answer weighs 1/8 in the mean
 constexpr int kMaxDoublings = 6;
+constexpr int kLoadWeight = 4; ///< one report weighs 1/4 in the mean load
+constexpr Duration kAssumedWork = std::chrono::milliseconds(100);
 
 /** An upstream is slow if its mean latency is so many times the median of all. */
 constexpr int kSlowFactor = 3;
@@ -51,19 +53,22 @@
   for (const auto& it : aAddresses) {
     const auto known =
       std::find_if(mStates.begin(), mStates.end(), [&](const auto& aState) {
-        return aState != nullptr && aState->address == it;
+        return aState != nullptr && aState->address.isSameStart(it);
       });
     std::unique_ptr<UpstreamState> state;
     if (known != mStates.end()) {
       state = std::move(*known);
     } else {
       state = std::make_unique<UpstreamState>();
-      state->address = it;
       // What is there when this process starts has been running: not cold.
       state->seenSince = isFirstList ? aNow - kColdPeriod : aNow;
     }
-    state->slots = std::max(1, aSlots);
-    state->leaving = std::find(mLeaving.begin(), mLeaving.end(), it) != mLeaving.end();
+    state->address = it;
+    state->slots = std::max(1, it.slots > 0 ? it.slots : aSlots);
+    state->leaving =
+      std::any_of(mLeaving.begin(), mLeaving.end(), [&](const auto& aGone) {
+        return aGone.isSameStart(it);
+      });
     states.push_back(std::move(state));
   }
   std::erase_if(mLeaving, [&](const UpstreamAddress& aAddress) {
@@ -118,6 +123,9 @@
 {
   if (auto* const state = find(aName)) {
     state->load = aLoad;
+    state->slots = aLoad.slots > 0 ? aLoad.slots : state->slots;
+    const auto load = static_cast<double>(aLoad.inUse + aLoad.queued) / state->slots;
+    state->meanLoad += (load - state->meanLoad) / kLoadWeight;
   }
 }
 
@@ -166,6 +174,12 @@
   return states;
 }
 
+Duration
+UpstreamPool::typicalWork() const
+{
+  return mTypicalLatency > Duration{ 0 } ? mTypicalLatency : kAssumedWork;
+}
+
 std::vector<UpstreamState*>
 UpstreamPool::eligible(std::string_view aRegion,
                        int aMaxInFlight,
@@ -177,7 +191,8 @@
   for (const auto& it : mStates) {
     const bool isExcluded =
       std::find(aExcluded.begin(), aExcluded.end(), it->address.name) != aExcluded.end();
-    if (it->leaving || isExcluded || it->address.region != aRegion ||
+    if (it->leaving || isExcluded ||
+        (!aRegion.empty() && it->address.region != aRegion) ||
         it->inFlight >= warmLimit(*it, aMaxInFlight, aNow) ||
         (isSlow(*it) && (it->inFlight > 0 || aNow < it->trialAt))) {
       continue;
--- a/libs/decide/tests/RouteMatcherTest.cpp
+++ b/libs/decide/tests/RouteMatcherTest.cpp
@@ -20,7 +20,7 @@
 std::string
 serviceOf(const Preset& aPreset, std::string_view aMethod, std::string_view aPath)
 {
-  const auto route = matchRoute(aPreset, aMethod, aPath);
+  const auto route = matchRoute(aPreset, {}, aMethod, aPath);
   return route.has_value() ? route.value()->service : route.error().message();
 }
 
--- a/libs/entry/include/entry/EntryDaemon.h
+++ b/libs/entry/include/entry/EntryDaemon.h
@@ -30,6 +30,9 @@
    */
   void requestStop();
 
+  /** SIGHUP: has no effect, because the settings are flags and environment variables. */
+  void reload();
+
 private:
   struct Impl;
   explicit EntryDaemon(std::unique_ptr<Impl> aImpl);
--- a/libs/entry/src/EntryTables.h
+++ b/libs/entry/include/entry/EntryTables.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "WorkerGauges.h"
 #include <atomic>
 #include <core/Bytes.h>
+#include <entry/WorkerGauges.h>
 #include <http/Response.h>
 #include <settings/EntrySettings.h>
 #include <tables/AdmissionTable.h>
@@ -24,7 +24,7 @@
   EntryTables(const EntrySettings& aSettings, std::uint64_t aIncarnation)
     : settings(aSettings)
     , incarnation(aIncarnation)
-    , upstreams(aSettings.common.region, aIncarnation)
+    , upstreams(aSettings.locality(), aIncarnation)
     , gauges(static_cast<std::size_t>(aSettings.workers))
   {
   }
@@ -40,6 +40,7 @@
   CallStatistics statistics;
   std::vector<WorkerGauges> gauges; ///< by worker
   std::atomic<std::uint64_t> nextClaim{ 1 };
+  std::atomic<int> entryCount{ 1 }; ///< entry processes that are listed, this one too
   std::atomic<bool> isLeaving{ false };
 };
 
--- a/libs/entry/src/Call.h
+++ b/libs/entry/src/Call.h
@@ -6,6 +6,7 @@
 #include <decide/Preset.h>
 #include <decide/Ticket.h>
 #include <decide/UpstreamAddress.h>
+#include <entry/CallTerms.h>
 #include <http/Request.h>
 #include <http/Responder.h>
 #include <http/Response.h>
@@ -21,6 +22,8 @@
   std::uint64_t id = 0;
   std::shared_ptr<const Preset> preset; ///< keeps `route` alive
   const Route* route = nullptr;
+  std::string service; ///< the route's, or one of its split
+  CallTerms terms;
   http::Request request;
   http::ResponderPtr responder;
   Ticket ticket;
@@ -48,6 +51,9 @@
   TimerSubscription deadlineTimer;
 
   bool isOrder() const { return !route->idempotent; }
+
+  /** An order with a key of its own, claimed so that it runs once over all its calls. */
+  bool isClaimedOrder() const { return isOrder() && route->claimed; }
 };
 
 } // namespace masticwall
--- a/libs/entry/src/EntryHub.h
+++ b/libs/entry/src/EntryHub.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "ControlLink.h"
-#include "EntryTables.h"
-#include "PeerOrders.h"
 #include <QObject>
+#include <entry/Backplane.h>
+#include <entry/Dialect.h>
+#include <entry/EntryTables.h>
 #include <functional>
 
 namespace masticwall {
@@ -18,9 +18,9 @@
 struct EntryHub
 {
   EntryTables& tables;
+  DialectTable dialect;
   QObject& mainContext; ///< lives on the main thread
-  ControlLink* control = nullptr;
-  PeerOrders* peers = nullptr;
+  Backplane backplane;  ///< set on the main thread before the first preset, used there
   std::function<void(std::uint32_t aWorker, std::function<void(EntryWorker&)>)>
     postToWorker;
 
--- /dev/null
+++ b/libs/entry/src/EntryProcess.cpp
@@ -0,0 +1,277 @@
+#include "EntryHub.h"
+#include "EntryWorker.h"
+#include "MembershipIntake.h"
+#include "StateDump.h"
+#include <entry/EntryProcess.h>
+#include <random>
+#include <runtime/WorkerThread.h>
+#include <telemetry/EventLog.h>
+#include <telemetry/OperatorServer.h>
+
+namespace masticwall {
+
+namespace {
+
+constexpr Duration kDrainCheckPeriod = std::chrono::milliseconds(50);
+constexpr Duration kForgetPeriod = std::chrono::seconds(5);
+
+/** After the notice period, a connection without a request for so long is closed. */
+constexpr Duration kIdleBeforeClose = std::chrono::milliseconds(500);
+constexpr int kExitCutOff = 3;
+
+std::uint64_t
+makeIncarnation()
+{
+  std::random_device device;
+  const auto value = (std::uint64_t{ device() } << 31U) ^ device();
+  return value >> 1U; // fits the signed integers of the messages' codec
+}
+
+} // namespace
+
+struct EntryProcess::Impl
+{
+  Impl(TimerService& aTimers,
+       const EntrySettings& aSettings,
+       const DialectTable& aDialect,
+       Ended aEnded)
+    : timers(aTimers)
+    , tables(aSettings, makeIncarnation())
+    , hub{ tables, aDialect, context, {}, {} }
+    , ended(std::move(aEnded))
+  {
+    hub.postToWorker = [this](std::uint32_t aWorker,
+                              std::function<void(EntryWorker&)> aTask) {
+      threads[aWorker]->post([this, aWorker, task = std::move(aTask)] {
+        // Gone already if the process is about to end.
+        if (workers[aWorker] != nullptr) {
+          task(*workers[aWorker]);
+        }
+      });
+    };
+  }
+
+  ~Impl()
+  {
+    for (std::size_t i = 0; i < threads.size(); ++i) {
+      threads[i]->run([this, i] { workers[i].reset(); });
+      threads[i]->stop();
+    }
+  }
+
+  Result<void> start();
+  Result<void> startWorkers();
+  Result<void> startOperators();
+  void onTablesChanged();
+  void requestStop();
+  void stopAccepting();
+  void checkDrained();
+  void end(int aExitCode);
+  void onEachWorker(const std::function<void(EntryWorker&)>& aTask);
+
+  TimerService& timers;
+  QObject context;
+  EntryTables tables;
+  EntryHub hub;
+  std::unique_ptr<OperatorServer> operators;
+  std::vector<std::unique_ptr<WorkerThread>> threads;
+  std::vector<std::unique_ptr<EntryWorker>> workers;
+  Ended ended;
+  TimerSubscription forgetTimer;
+  TimerSubscription noticeTimer;
+  TimerSubscription drainTimer;
+  TimerSubscription longestDrainTimer;
+  bool isAccepting = true;
+};
+
+Result<void>
+EntryProcess::Impl::start()
+{
+  BOOST_OUTCOME_TRYV(startWorkers());
+  BOOST_OUTCOME_TRYV(startOperators());
+  forgetTimer = timers.subscribeEvery(kForgetPeriod, [this] {
+    const std::chrono::milliseconds window(tables.settings.common.orderWindowMs);
+    tables.orders.forget(timers.now() - window);
+  });
+  const auto& settings = tables.settings;
+  logEvent(LogEvent::Started,
+           { { "vm", settings.common.vm },
+             { "host", settings.common.host },
+             { "port", settings.port },
+             { "workers", settings.workers } });
+  return success();
+}
+
+Result<void>
+EntryProcess::Impl::startWorkers()
+{
+  const auto n = static_cast<std::size_t>(tables.settings.workers);
+  workers.resize(n);
+  for (std::size_t i = 0; i < n; ++i) {
+    threads.push_back(std::make_unique<WorkerThread>(QStringLiteral("worker-%1").arg(i)));
+  }
+  std::error_code ec;
+  for (std::size_t i = 0; i < n; ++i) {
+    threads[i]->run([this, i, &ec] {
+      auto worker = EntryWorker::create(hub, static_cast<std::uint32_t>(i));
+      if (worker.has_error()) {
+        ec = worker.error();
+        return;
+      }
+      workers[i] = std::move(worker.value());
+    });
+  }
+  if (ec) {
+    return ec;
+  }
+  return success();
+}
+
+Result<void>
+EntryProcess::Impl::startOperators()
+{
+  OperatorPages pages;
+  pages.state = [this] {
+    return dumpState(tables, hub.backplane.isConnected && hub.backplane.isConnected());
+  };
+  pages.metrics = [this] { return tables.statistics.toMetrics(); };
+  pages.isReady = [this] {
+    return !tables.isLeaving && tables.presets.current() != nullptr;
+  };
+  pages.isLeaving = [this] { return tables.isLeaving.load(); };
+  pages.drain = [this] {
+    if (!tables.isLeaving) {
+      requestStop();
+    }
+  };
+  const auto& settings = tables.settings;
+  BOOST_OUTCOME_TRY(
+    server,
+    OperatorServer::listen(QHostAddress(QString::fromStdString(settings.common.host)),
+                           settings.operatorPort,
+                           std::move(pages)));
+  operators = std::move(server);
+  return success();
+}
+
+void
+EntryProcess::Impl::onTablesChanged()
+{
+  applyMembership(tables, timers.now());
+  onEachWorker([](EntryWorker& aWorker) { aWorker.onPreset(); });
+  if (isListedAsLeaving(tables) && !tables.isLeaving) {
+    requestStop();
+  }
+}
+
+void
+EntryProcess::Impl::requestStop()
+{
+  if (tables.isLeaving.exchange(true)) {
+    stopAccepting();
+    return;
+  }
+  const auto& settings = tables.settings;
+  logEvent(LogEvent::StopRequested,
+           { { "notice_ms", toMilliseconds(settings.noticePeriod) } });
+  if (hub.backplane.reportLeaving) {
+    hub.backplane.reportLeaving(settings.common.vm, settings.common.instance);
+  }
+  onEachWorker([](EntryWorker& aWorker) { aWorker.beginLeaving(); });
+  noticeTimer = timers.subscribeIn(settings.noticePeriod, [this] { stopAccepting(); });
+  longestDrainTimer =
+    timers.subscribeIn(settings.longestDrain, [this] { end(kExitCutOff); });
+}
+
+void
+EntryProcess::Impl::stopAccepting()
+{
+  if (!isAccepting) {
+    return;
+  }
+  isAccepting = false;
+  noticeTimer.cancel();
+  for (std::size_t i = 0; i < threads.size(); ++i) {
+    threads[i]->run([this, i] { workers[i]->stopAccepting(); });
+  }
+  drainTimer = timers.subscribeEvery(kDrainCheckPeriod, [this] { checkDrained(); });
+}
+
+void
+EntryProcess::Impl::checkDrained()
+{
+  bool isDrained = true;
+  for (std::size_t i = 0; i < threads.size(); ++i) {
+    threads[i]->run([this, i, &isDrained] {
+      workers[i]->closeIdle(kIdleBeforeClose);
+      isDrained = isDrained && workers[i]->isDrained();
+    });
+  }
+  if (isDrained) {
+    logEvent(LogEvent::Drained);
+    end(0);
+  }
+}
+
+void
+EntryProcess::Impl::end(int aExitCode)
+{
+  drainTimer.cancel();
+  longestDrainTimer.cancel();
+  logEvent(LogEvent::Stopped, { { "exit_code", aExitCode } });
+  if (ended != nullptr) {
+    std::exchange(ended, nullptr)(aExitCode);
+  }
+}
+
+void
+EntryProcess::Impl::onEachWorker(const std::function<void(EntryWorker&)>& aTask)
+{
+  for (std::uint32_t i = 0; i < threads.size(); ++i) {
+    hub.postToWorker(i, aTask);
+  }
+}
+
+Result<std::unique_ptr<EntryProcess>>
+EntryProcess::create(TimerService& aTimers,
+                     const EntrySettings& aSettings,
+                     const DialectTable& aDialect,
+                     Ended aEnded)
+{
+  auto impl = std::make_unique<Impl>(aTimers, aSettings, aDialect, std::move(aEnded));
+  BOOST_OUTCOME_TRYV(impl->start());
+  return std::unique_ptr<EntryProcess>(new EntryProcess(std::move(impl)));
+}
+
+EntryProcess::EntryProcess(std::unique_ptr<Impl> aImpl)
+  : mImpl(std::move(aImpl))
+{
+}
+
+EntryProcess::~EntryProcess() = default;
+
+EntryTables&
+EntryProcess::tables()
+{
+  return mImpl->tables;
+}
+
+void
+EntryProcess::setBackplane(Backplane aBackplane)
+{
+  mImpl->hub.backplane = std::move(aBackplane);
+}
+
+void
+EntryProcess::onTablesChanged()
+{
+  mImpl->onTablesChanged();
+}
+
+void
+EntryProcess::requestStop()
+{
+  mImpl->requestStop();
+}
+
+} // namespace masticwall
--- a/libs/entry/src/EntryWorker.cpp
+++ b/libs/entry/src/EntryWorker.cpp
@@ -1,13 +1,18 @@
 #include "EntryWorker.h"
 #include "CallNumber.h"
-#include "OutcomeEncoding.h"
 #include <telemetry/EventLog.h>
 
 namespace masticwall {
 
 namespace {
 
-constexpr double kRetryBurst = 10.0;
+/** As many VMs again may have been added or restarted as are listed. */
+constexpr int kMembershipMargin = 2;
+constexpr int kFewestConnections = 2;
+
+/** Refused callers are asked back at different times within this span. */
+constexpr Duration kFirstReturn = std::chrono::milliseconds(50);
+constexpr Duration kLastReturn = std::chrono::milliseconds(250);
 constexpr Duration kGaugePeriod = std::chrono::milliseconds(250);
 
 } // namespace
@@ -29,7 +34,7 @@
     [raw](http::Request aRequest, http::ResponderPtr aResponder) {
       raw->onRequest(std::move(aRequest), std::move(aResponder));
     },
-    encodeUnreadable);
+    aHub.dialect.encodeUnreadable);
   if (front.has_error()) {
     return front.error();
   }
@@ -44,7 +49,7 @@
   , mTables(aHub.tables)
   , mIndex(aIndex)
   , mBack(mTimers, 1)
-  , mRetryBudget(0.0, kRetryBurst)
+  , mRandom(aHub.tables.incarnation + aIndex)
 {
 }
 
@@ -58,8 +63,15 @@
     return;
   }
   const auto& limits = preset->limits;
-  mBack.setConnectionsPerUpstream(limits.connectionsPerUpstream /
-                                  mTables.settings.workers);
+  const int workers = mTables.settings.workers;
+  const int sharers =
+    limits.areShared ? mTables.entryCount * kMembershipMargin * workers : workers;
+  mBack.setConnectionsPerUpstream(
+    std::max(kFewestConnections, limits.connectionsPerUpstream / sharers));
+  mRetryBudget.configure(limits.retryBudget, limits.retryBurst / sharers);
+  if (limits.idleTimeout > Duration{ 0 }) {
+    mFront->setTimeouts(limits.headerTimeout, limits.idleTimeout);
+  }
   mFront->setMessageLimits({ static_cast<std::uint32_t>(limits.maxHeaderBytes),
                              static_cast<std::uint64_t>(limits.maxBodyBytes) });
 }
@@ -104,6 +116,14 @@
   gauges.upstreamConnections = mBack.connectionCount();
 }
 
+Duration
+EntryWorker::retryAfter()
+{
+  std::uniform_int_distribution<Duration::rep> ticks(kFirstReturn.count(),
+                                                     kLastReturn.count());
+  return Duration(ticks(mRandom));
+}
+
 void
 EntryWorker::erase(std::uint64_t aCall)
 {
--- a/libs/entry/src/EntryWorker.h
+++ b/libs/entry/src/EntryWorker.h
@@ -3,9 +3,11 @@
 #include "Call.h"
 #include "EntryHub.h"
 #include <core/CallError.h>
-#include <decide/TokenBucket.h>
+#include <decide/RetryBudget.h>
+#include <decide/TrafficSplit.h>
 #include <http/BackPool.h>
 #include <http/FrontListener.h>
+#include <random>
 #include <runtime/TimerService.h>
 #include <unordered_map>
 
@@ -48,6 +50,9 @@
 
   // Arrival
   void onRequest(http::Request aRequest, http::ResponderPtr aResponder);
+  void refuseUnrouted(const http::Request& aRequest,
+                      const http::ResponderPtr& aResponder,
+                      CallError aError);
   void answerHealth(const http::ResponderPtr& aResponder) const;
   void begin(Call& aCall);
   bool beginOrder(Call& aCall);
@@ -60,6 +65,7 @@
   http::Exchange makeExchange(const Call& aCall);
   void onExchange(std::uint64_t aCall, const http::BackResult& aResult);
   void onAnswer(Call& aCall, const http::Response& aResponse);
+  void noteLeaving(const UpstreamAddress& aUpstream);
   void onFailure(Call& aCall, const http::BackResult& aResult);
   void onShed(Call& aCall);
   bool mayTryAgain(const Call& aCall);
@@ -86,6 +92,7 @@
   void leaveAdmission(Call& aCall);
   void startNext(const std::string& aService);
   void erase(std::uint64_t aCall);
+  Duration retryAfter();
   void updateGauges();
   Call* find(std::uint64_t aCall);
 
@@ -97,7 +104,9 @@
   std::unique_ptr<http::FrontListener> mFront;
   std::unordered_map<std::uint64_t, std::unique_ptr<Call>> mCalls;
   std::uint64_t mNextCall = 1;
-  TokenBucket mRetryBudget;
+  RetryBudget mRetryBudget;
+  TrafficSplit mSplit;
+  std::mt19937_64 mRandom;
   TimerSubscription mGaugeTimer;
 };
 
--- a/libs/entry/src/EntryWorkerArrival.cpp
+++ b/libs/entry/src/EntryWorkerArrival.cpp
@@ -1,20 +1,17 @@
 #include "CallNumber.h"
 #include "CallerIdentity.h"
 #include "EntryWorker.h"
-#include "OutcomeEncoding.h"
 #include <core/WallClock.h>
 #include <decide/RouteMatcher.h>
 #include <functional>
 #include <messages/HeaderNames.h>
+#include <telemetry/EventLog.h>
 
 // The part of EntryWorker that takes calls in.
 namespace masticwall {
 
 namespace {
 
-/** Answered by the entry process itself, for the platform's balancer. */
-constexpr const char* kHealthPath = "/masticwall/health";
-
 std::uint64_t
 fairnessKey(const http::Request& aRequest, const http::Responder& aResponder)
 {
@@ -28,38 +25,54 @@
 void
 EntryWorker::onRequest(http::Request aRequest, http::ResponderPtr aResponder)
 {
-  if (aRequest.target == kHealthPath) {
+  const auto& dialect = mHub.dialect;
+  if (dialect.healthPath != nullptr && aRequest.target == dialect.healthPath) {
     answerHealth(aResponder);
     return;
   }
   const auto preset = mTables.presets.current();
   if (preset == nullptr) {
-    aResponder->respond(encodeOutcome(Outcome::NotRun, CallError::NotReady));
+    refuseUnrouted(aRequest, aResponder, CallError::NotReady);
     return;
   }
-  const auto route = matchRoute(*preset, aRequest.method, aRequest.target);
+  auto terms = dialect.readTerms(aRequest);
+  const auto route = matchRoute(*preset, terms.host, aRequest.method, aRequest.target);
   if (route.has_error()) {
-    aResponder->respond(encodeOutcome(Outcome::NotRun, CallError::NoRoute));
+    refuseUnrouted(aRequest, aResponder, CallError::NoRoute);
     return;
   }
   auto call = std::make_unique<Call>();
   call->id = CallNumber::make(mIndex, mNextCall++);
   call->preset = preset;
   call->route = route.value();
+  call->service = mSplit.next(*call->route, mRandom);
   call->arrivedAt = mTimers.now();
-  call->deadline = call->arrivedAt + call->route->deadline;
+  call->deadline = call->arrivedAt + std::min(call->route->deadline,
+                                              terms.patience.value_or(Duration::max()));
+  call->terms = std::move(terms);
   call->ticket = { call->id,       fairnessKey(aRequest, *aResponder),
                    mIndex,         call->route->rank,
                    call->deadline, call->arrivedAt };
-  call->isGranted = !call->isOrder();
+  call->isGranted = !call->isClaimedOrder();
   call->request = std::move(aRequest);
   call->responder = std::move(aResponder);
   auto& added = *call;
   mCalls[added.id] = std::move(call);
-  mRetryBudget.put(preset->limits.retryBudget);
+  mRetryBudget.noteCall(added.service);
   begin(added);
 }
 
+void
+EntryWorker::refuseUnrouted(const http::Request& aRequest,
+                            const http::ResponderPtr& aResponder,
+                            CallError aError)
+{
+  const auto terms = mHub.dialect.readTerms(aRequest);
+  logEvent(LogEvent::CallRefused,
+           { { "id", terms.id }, { "reason", nameOf(aError) }, { "host", terms.host } });
+  aResponder->respond(mHub.dialect.encodeOutcome(Outcome::NotRun, aError, retryAfter()));
+}
+
 void
 EntryWorker::answerHealth(const http::ResponderPtr& aResponder) const
 {
@@ -84,7 +97,7 @@
       return;
     }
   }
-  if (aCall.isOrder() && !beginOrder(aCall)) {
+  if (aCall.isClaimedOrder() && !beginOrder(aCall)) {
     return;
   }
   beginAdmission(aCall);
@@ -122,7 +135,7 @@
 EntryWorker::beginAdmission(Call& aCall)
 {
   const auto admission =
-    mTables.admission.offer(aCall.route->service, aCall.ticket, mTimers.now());
+    mTables.admission.offer(aCall.service, aCall.ticket, mTimers.now());
   if (admission.displaced.has_value()) {
     const auto displaced = *admission.displaced;
     mHub.postToWorker(displaced.worker, [displaced](EntryWorker& aWorker) {
@@ -134,7 +147,7 @@
     return;
   }
   aCall.holdsSlot = admission.verdict == AdmissionVerdict::Start;
-  if (aCall.isOrder()) {
+  if (aCall.isClaimedOrder()) {
     // Made while the call waits for its slot, so that the two waits overlap.
     askClaim(aCall);
     return;
@@ -151,11 +164,12 @@
   const auto id = aCall.id;
   const auto worker = mIndex;
   hub.postToMain([&hub, claim, id, worker, deadline = aCall.deadline] {
-    hub.control->claim(claim, deadline, [&hub, id, worker](const ClaimVerdict& aVerdict) {
-      hub.postToWorker(worker, [id, aVerdict](EntryWorker& aWorker) {
-        aWorker.onVerdict(id, aVerdict);
+    hub.backplane.claim(
+      claim, deadline, [&hub, id, worker](const ClaimVerdict& aVerdict) {
+        hub.postToWorker(worker, [id, aVerdict](EntryWorker& aWorker) {
+          aWorker.onVerdict(id, aVerdict);
+        });
       });
-    });
   });
 }
 
--- a/libs/entry/src/EntryWorkerEnding.cpp
+++ b/libs/entry/src/EntryWorkerEnding.cpp
@@ -1,6 +1,5 @@
 #include "CallNumber.h"
 #include "EntryWorker.h"
-#include "OutcomeEncoding.h"
 #include <telemetry/EventLog.h>
 
 // The part of EntryWorker that ends calls and settles orders.
@@ -45,12 +44,13 @@
       break;
   }
   mBack.distrustIdle(call->exchange);
-  if (call->isOrder()) {
+  if (call->isClaimedOrder()) {
     // It cannot be taken back; its outcome is awaited for those who ask again.
     answer(*call,
            Outcome::Unknown,
            nameOf(CallError::OrderUnsettled),
-           encodeOutcome(Outcome::Unknown, CallError::OrderUnsettled));
+           mHub.dialect.encodeOutcome(
+             Outcome::Unknown, CallError::OrderUnsettled, Duration{ 0 }));
     call->stage = CallStage::Settling;
     return;
   }
@@ -70,7 +70,9 @@
     return;
   }
   call->responder.reset();
-  if (call->isOrder()) {
+  const bool isHeld = call->isClaimedOrder() || call->stage == CallStage::Sending;
+  if (call->isOrder() && isHeld) {
+    // What may run already runs to its end.
     return;
   }
   mBack.cancel(call->exchange);
@@ -90,7 +92,7 @@
   const auto id = aCall.id;
   const auto worker = mIndex;
   hub.postToMain([&hub, aHolder, id, worker, deadline = aCall.deadline] {
-    hub.peers->ask(
+    hub.backplane.askClaimant(
       aHolder, deadline, [&hub, id, worker](const Result<OrderReport>& aReport) {
         hub.postToWorker(worker, [id, aReport](EntryWorker& aWorker) {
           aWorker.onHolderReport(id, aReport);
@@ -143,13 +145,20 @@
 EntryWorker::endWith(Call& aCall, CallError aError)
 {
   const auto outcome = aCall.mayHaveRun ? Outcome::Unknown : outcomeOf(aError);
+  if (outcome != outcomeOf(aError)) {
+    // The status of a refusal would say that it has not run.
+    aError = CallError::UpstreamFailed;
+  }
   if (outcome == Outcome::NotRun) {
     settle(aCall, OrderState::NotRun, nullptr);
   } else {
     settle(aCall, OrderState::Unknown, nullptr);
   }
   leaveAdmission(aCall);
-  answer(aCall, outcome, nameOf(aError), encodeOutcome(outcome, aError));
+  answer(aCall,
+         outcome,
+         nameOf(aError),
+         mHub.dialect.encodeOutcome(outcome, aError, retryAfter()));
   erase(aCall.id);
 }
 
@@ -160,7 +169,7 @@
     settle(aCall, OrderState::Answered, std::make_shared<const http::Response>(aAnswer));
   }
   leaveAdmission(aCall);
-  answer(aCall, Outcome::Answered, {}, encodeAnswer(aAnswer));
+  answer(aCall, Outcome::Answered, {}, mHub.dialect.encodeAnswer(aAnswer));
   erase(aCall.id);
 }
 
@@ -199,14 +208,17 @@
   auto& hub = mHub;
   for (const auto it : waiters) {
     if (CallNumber::workerOf(it) == CallNumber::kPeers) {
-      hub.postToMain([&hub, it, view] { hub.peers->onSettled(it, view); });
+      hub.postToMain([&hub, it, view] {
+        hub.backplane.tellSettled(
+          it, { view.state, view.answer == nullptr ? http::Response() : *view.answer });
+      });
     } else {
       hub.postToWorker(CallNumber::workerOf(it),
                        [it, view](EntryWorker& aWorker) { aWorker.onSettled(it, view); });
     }
   }
   if (aState == OrderState::NotRun && aCall.isClaimed) {
-    hub.postToMain([&hub, claim = aCall.claim] { hub.control->release(claim); });
+    hub.postToMain([&hub, claim = aCall.claim] { hub.backplane.release(claim); });
   }
   if (aState == OrderState::Unknown && !isElsewhere) {
     logEvent(LogEvent::OrderUnknown,
@@ -217,7 +229,7 @@
 void
 EntryWorker::leaveAdmission(Call& aCall)
 {
-  const auto& service = aCall.route->service;
+  const auto& service = aCall.service;
   if (aCall.holdsSlot) {
     aCall.holdsSlot = false;
     startNext(service);
--- a/libs/entry/src/EntryWorkerSending.cpp
+++ b/libs/entry/src/EntryWorkerSending.cpp
@@ -2,8 +2,6 @@
 #include "EntryWorker.h"
 #include <http/BackError.h>
 #include <http/ConnectProbe.h>
-#include <messages/HeaderNames.h>
-#include <messages/UpstreamSigns.h>
 #include <telemetry/EventLog.h>
 
 // The part of EntryWorker that sends calls to upstreams.
@@ -11,7 +9,6 @@
 
 namespace {
 
-constexpr int kMostAttempts = 3;
 constexpr int kFirstErrorStatus = 500;
 
 /** How long an order's outcome is awaited after its caller's deadline. */
@@ -40,10 +37,11 @@
     return;
   }
   const auto chosen =
-    mTables.upstreams.choose({ aCall.route->service,
+    mTables.upstreams.choose({ aCall.service,
                                aCall.route->rank,
                                aCall.request.body.size() + kExpectedAnswerBytes,
-                               aCall.excluded },
+                               aCall.excluded,
+                               aCall.deadline - now },
                              now);
   if (chosen.has_error()) {
     if (aCall.lastAnswer.has_value()) {
@@ -70,13 +68,18 @@
   exchange.host = QHostAddress(QString::fromStdString(aCall.upstream->host));
   exchange.port = aCall.upstream->port;
   exchange.request = aCall.request;
-  http::removeHeader(exchange.request.headers, headers::kDeadline);
-  exchange.request.headers.push_back(
-    { headers::kDeadline, std::to_string(toMilliseconds(left)) });
+  mHub.dialect.writeTerms(exchange.request, *aCall.upstream, left);
   exchange.limits.maxBodyBytes = aCall.preset->limits.maxBodyBytes;
-  exchange.timeout = aCall.isOrder() ? left + kSettleTime : left;
+  exchange.timeout = aCall.isClaimedOrder() ? left + kSettleTime : left;
   exchange.provenOnly = aCall.isOrder();
-  if (aCall.isOrder()) {
+  if (mHub.dialect.hasIds) {
+    exchange.mayEndWithConnection = true;
+    exchange.isAnswer = [isAnswerTo = mHub.dialect.isAnswerTo,
+                         terms = aCall.terms](const http::Response& aResponse) {
+      return isAnswerTo(aResponse, terms);
+    };
+  }
+  if (aCall.isClaimedOrder()) {
     const auto sequence = aCall.claim.sequence;
     const auto deadline = aCall.deadline;
     // The last moment before the first byte leaves: a pause may have come in between.
@@ -109,19 +112,13 @@
 void
 EntryWorker::onAnswer(Call& aCall, const http::Response& aResponse)
 {
-  const auto signs = readSigns(aResponse, mTimers.now());
+  const auto signs = mHub.dialect.readSigns(aResponse, mTimers.now());
   const auto& upstream = *aCall.upstream;
   if (signs.load.has_value()) {
     mTables.upstreams.reportLoad(upstream, *signs.load);
   }
-  if (signs.isLeaving) {
-    auto& hub = mHub;
-    mTables.upstreams.markLeaving(upstream);
-    logEvent(LogEvent::UpstreamLeaving,
-             { { "upstream", upstream.name }, { "sign", "answer" } });
-    hub.postToMain([&hub, name = upstream.name, instance = upstream.instance] {
-      hub.control->reportLeaving(name, instance);
-    });
+  if (signs.isLeaving || signs.isElsewhere) {
+    noteLeaving(upstream);
   }
   if (signs.isNotRun) {
     onShed(aCall);
@@ -138,13 +135,27 @@
   endWithAnswer(aCall, aResponse);
 }
 
+void
+EntryWorker::noteLeaving(const UpstreamAddress& aUpstream)
+{
+  auto& hub = mHub;
+  mTables.upstreams.markLeaving(aUpstream);
+  logEvent(LogEvent::UpstreamLeaving,
+           { { "upstream", aUpstream.name }, { "sign", "answer" } });
+  hub.postToMain([&hub, name = aUpstream.name, instance = aUpstream.instance] {
+    if (hub.backplane.reportLeaving) {
+      hub.backplane.reportLeaving(name, instance);
+    }
+  });
+}
+
 void
 EntryWorker::onShed(Call& aCall)
 {
   endAttempt(aCall, CallEnd::Shed);
-  if (aCall.isOrder()) {
+  aCall.isSent = false;
+  if (aCall.isClaimedOrder()) {
     mTables.orders.markNotSent(aCall.claim.sequence);
-    aCall.isSent = false;
   }
   const bool isFirst = !aCall.wasShed;
   aCall.wasShed = true;
@@ -165,7 +176,8 @@
     return;
   }
   logEvent(LogEvent::UpstreamFailed,
-           { { "upstream", aCall.upstream->name },
+           { { "id", aCall.terms.id },
+             { "upstream", aCall.upstream->name },
              { "error", error.message() },
              { "may_have_run", aResult.mayHaveRun ? "yes" : "no" } });
   const bool isOurLimit = error == BackError::NoConnection;
@@ -214,10 +226,15 @@
   // The caller is answered only after the other VMs know, so that a resend through
   // whichever of them meets the count.
   hub.postToMain([&hub, aFingerprint, reporter, deaths, aCall, worker = mIndex] {
-    hub.control->reportSuspect({ aFingerprint, reporter, deaths }, [&hub, aCall, worker] {
+    const auto onTold = [&hub, aCall, worker] {
       hub.postToWorker(worker,
                        [aCall](EntryWorker& aWorker) { aWorker.onDeathKnown(aCall); });
-    });
+    };
+    if (hub.backplane.reportSuspect) {
+      hub.backplane.reportSuspect({ aFingerprint, reporter, deaths }, onTold);
+    } else {
+      onTold();
+    }
   });
 }
 
@@ -235,7 +252,8 @@
   const bool isInTime =
     aCall.stage == CallStage::Sending && mTimers.now() < aCall.deadline;
   return !(aCall.isOrder() && aCall.isSent) && isInTime &&
-         aCall.attempts < kMostAttempts && mRetryBudget.take(1.0, mTimers.now());
+         aCall.attempts < aCall.route->attempts &&
+         mRetryBudget.take(aCall.service, mTimers.now());
 }
 
 void
@@ -243,7 +261,8 @@
 {
   const bool isSuspect = mTables.suspects.isStopped(aCall.fingerprint, mTimers.now());
   if (isSuspect) {
-    logEvent(LogEvent::SuspectStopped, { { "service", aCall.route->service } });
+    logEvent(LogEvent::SuspectStopped,
+             { { "id", aCall.terms.id }, { "service", aCall.service } });
   }
   if (isSuspect || !mayTryAgain(aCall)) {
     endWith(aCall, aError);
--- a/libs/entry/src/FeedIntake.h
+++ b/libs/entry/src/FeedIntake.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "EntryTables.h"
+#include <entry/EntryTables.h>
 #include <messages/Feed.h>
 #include <settings/PresetAssembler.h>
 
@@ -18,12 +18,8 @@
   /** True if the preset or the membership has changed. */
   bool take(const Feed& aFeed, Instant aNow);
 
-  /** The VM list, or a peer, says that this instance of this VM leaves. */
-  bool isListedAsLeaving() const;
-
 private:
   void putPreset(const Feed& aFeed);
-  void applyTables(Instant aNow);
 
   EntryTables& mTables;
   PresetSections mSections; ///< of the preset in force
--- /dev/null
+++ b/libs/entry/src/MembershipIntake.cpp
@@ -0,0 +1,84 @@
+#include "MembershipIntake.h"
+#include <algorithm>
+#include <cmath>
+
+namespace masticwall {
+
+namespace {
+
+std::vector<UpstreamAddress>
+upstreamsOf(const VmList& aList)
+{
+  std::vector<UpstreamAddress> addresses;
+  for (const auto& it : aList) {
+    if (it.role == VmRole::Upstream) {
+      addresses.push_back({ it.name,
+                            it.service,
+                            it.region,
+                            it.host,
+                            it.port,
+                            it.instance,
+                            it.dataCentre,
+                            it.slots,
+                            it.isCold });
+    }
+  }
+  return addresses;
+}
+
+/** The entries of a region; of all regions, if `aRegion` is empty. */
+int
+entriesIn(const VmList& aList, const std::string& aRegion)
+{
+  int n = 0;
+  for (const auto& it : aList) {
+    n += it.role == VmRole::Masticwall && !it.leaving &&
+             (aRegion.empty() || it.region == aRegion)
+           ? 1
+           : 0;
+  }
+  return std::max(1, n);
+}
+
+} // namespace
+
+void
+applyMembership(EntryTables& aTables, Instant aNow)
+{
+  const auto preset = aTables.presets.current();
+  if (preset == nullptr) {
+    return;
+  }
+  const auto list = aTables.membership.current();
+  aTables.entryCount = entriesIn(list, {});
+  const auto& region = aTables.settings.common.region;
+  const auto addresses = upstreamsOf(list);
+  aTables.upstreams.update(*preset, addresses, aNow);
+  for (const auto& it : list) {
+    if (it.role == VmRole::Upstream && it.leaving) {
+      aTables.upstreams.markLeaving(
+        { it.name, it.service, it.region, it.host, it.port, it.instance });
+    }
+  }
+  const auto entries = entriesIn(list, region);
+  for (const auto& it : preset->services) {
+    const auto share =
+      preset->limits.overcommit * aTables.upstreams.slotsIn(it.name, region) / entries;
+    aTables.admission.configure(it.name,
+                                preset->ranks,
+                                static_cast<int>(std::ceil(share)),
+                                preset->limits.queueLength);
+  }
+}
+
+bool
+isListedAsLeaving(const EntryTables& aTables)
+{
+  const auto& common = aTables.settings.common;
+  const auto list = aTables.membership.current();
+  return std::any_of(list.begin(), list.end(), [&](const Vm& aVm) {
+    return aVm.name == common.vm && aVm.instance == common.instance && aVm.leaving;
+  });
+}
+
+} // namespace masticwall
--- a/libs/entry/src/OutcomeEncoding.cpp
+++ b/libs/entry/src/OutcomeEncoding.cpp
@@ -1,4 +1,5 @@
 #include "OutcomeEncoding.h"
+#include <entry/OutcomeStatus.h>
 #include <http/HttpError.h>
 #include <messages/HeaderNames.h>
 
@@ -6,36 +7,6 @@
 
 namespace {
 
-constexpr const char* kRetryAfterSeconds = "1";
-
-/** One row of the table that maps outcomes to the wire. */
-struct StatusRow
-{
-  CallError error;
-  int status;
-  bool mayRetry; ///< "Retry-After" is stated
-};
-
-constexpr std::array<StatusRow, 17> kStatuses{ {
-  { CallError::BadRequest, 400, false },
-  { CallError::NoRoute, 404, false },
-  { CallError::MissingKey, 400, false },
-  { CallError::KeyReused, 422, false },
-  { CallError::NotReady, 503, true },
-  { CallError::Overload, 503, true },
-  { CallError::QueueTimeout, 503, true },
-  { CallError::DeadlinePassed, 504, false },
-  { CallError::NoUpstream, 503, true },
-  { CallError::ClaimUnavailable, 503, true },
-  { CallError::Leaving, 503, true },
-  { CallError::Suspect, 422, false },
-  { CallError::UpstreamShed, 503, true },
-  { CallError::UpstreamFailed, 502, false },
-  { CallError::OrderNotRun, 503, true },
-  { CallError::OrderUnsettled, 504, false },
-  { CallError::ClaimantGone, 502, false },
-} };
-
 http::Response
 makeResponse(int aStatus, Outcome aOutcome, std::string_view aReason)
 {
@@ -51,19 +22,16 @@
 } // namespace
 
 http::Response
-encodeOutcome(Outcome aOutcome, CallError aError)
+encodeOutcome(Outcome aOutcome, CallError aError, Duration aRetryAfter)
 {
-  for (const auto& it : kStatuses) {
-    if (it.error != aError) {
-      continue;
-    }
-    auto response = makeResponse(it.status, aOutcome, nameOf(aError));
-    if (it.mayRetry && aOutcome == Outcome::NotRun) {
-      response.headers.push_back({ headers::kRetryAfter, kRetryAfterSeconds });
-    }
-    return response;
+  const auto status = statusOf(aError);
+  auto response = makeResponse(status.status, aOutcome, nameOf(aError));
+  if (status.mayRetry && aOutcome == Outcome::NotRun) {
+    // The standard field has whole seconds.
+    const auto seconds = std::chrono::ceil<std::chrono::seconds>(aRetryAfter).count();
+    response.headers.push_back({ headers::kRetryAfter, std::to_string(seconds) });
   }
-  return makeResponse(500, aOutcome, nameOf(aError));
+  return response;
 }
 
 http::Response
--- a/libs/entry/src/OutcomeEncoding.h
+++ b/libs/entry/src/OutcomeEncoding.h
@@ -8,7 +8,7 @@
 
 /** The answer to a call that has none from an upstream. */
 http::Response
-encodeOutcome(Outcome aOutcome, CallError aError);
+encodeOutcome(Outcome aOutcome, CallError aError, Duration aRetryAfter);
 
 /** The refusal of a request that could not be read (an HttpError). */
 http::Response
--- a/libs/entry/src/PeerOrders.h
+++ b/libs/entry/src/PeerOrders.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "EntryTables.h"
+#include <entry/EntryTables.h>
 #include <functional>
 #include <map>
 #include <messages/OrderReport.h>
--- a/libs/entry/src/StateDump.h
+++ b/libs/entry/src/StateDump.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "EntryTables.h"
 #include <QJsonObject>
+#include <entry/EntryTables.h>
 
 namespace masticwall {
 
--- a/libs/control/src/PeerNotices.h
+++ b/libs/feed/include/feed/PeerNotices.h
@@ -1,18 +1,20 @@
 #pragma once
 
-#include "ControlTables.h"
 #include <peer/PeerClients.h>
 #include <random>
 #include <runtime/TimerService.h>
+#include <tables/MembershipTable.h>
 #include <vector>
 
 namespace masticwall {
 
-/** Sends notices and questions to the control processes of other VMs. Main thread. */
+/** Sends notices and questions to the control ports of other VMs. Main thread. */
 class PeerNotices
 {
 public:
-  PeerNotices(TimerService& aTimers, ControlTables& aTables);
+  PeerNotices(TimerService& aTimers,
+              const MembershipTable& aMembership,
+              std::string aOwnVm);
 
   /**
    * Sends to every other VM of masticwall; what is lost is not sent again. `aDone` is
@@ -31,7 +33,8 @@
 private:
   std::vector<Vm> others() const;
 
-  ControlTables& mTables;
+  const MembershipTable& mMembership;
+  std::string mOwnVm;
   PeerClients mClients;
   std::mt19937_64 mRandom{ std::random_device()() };
 };
--- a/libs/control/src/PeerNotices.cpp
+++ b/libs/feed/src/PeerNotices.cpp
@@ -1,5 +1,5 @@
-#include "PeerNotices.h"
 #include <core/RandomSource.h>
+#include <feed/PeerNotices.h>
 
 namespace masticwall {
 
@@ -9,8 +9,11 @@
 
 } // namespace
 
-PeerNotices::PeerNotices(TimerService& aTimers, ControlTables& aTables)
-  : mTables(aTables)
+PeerNotices::PeerNotices(TimerService& aTimers,
+                         const MembershipTable& aMembership,
+                         std::string aOwnVm)
+  : mMembership(aMembership)
+  , mOwnVm(std::move(aOwnVm))
   , mClients(aTimers)
 {
 }
@@ -49,9 +52,9 @@
 std::vector<Vm>
 PeerNotices::others() const
 {
-  auto list = mTables.membership.current();
+  auto list = mMembership.current();
   std::erase_if(list, [this](const Vm& aVm) {
-    return aVm.role != VmRole::Masticwall || aVm.name == mTables.settings.common.vm;
+    return aVm.role != VmRole::Masticwall || aVm.name == mOwnVm;
   });
   return list;
 }
--- a/libs/http/include/http/Exchange.h
+++ b/libs/http/include/http/Exchange.h
@@ -17,9 +17,16 @@
   Request request;
   MessageLimits limits; ///< of the answer
   Duration connectTimeout{ 250ms };
-  Duration timeout{ 1s };         ///< from the first byte written to the whole answer
-  bool provenOnly = false;        ///< only a connection that was lately seen alive
-  std::function<bool()> mayWrite; ///< asked before the first byte; false withdraws
+  Duration timeout{ 1s };  ///< from the first byte written to the whole answer
+  bool provenOnly = false; ///< only a connection that was lately seen alive
+  /**
+   * Whether a whole response answers this request; null if any does. One that does not
+   * is dropped, and the connection is closed after the exchange.
+   */
+  std::function<bool(const Response&)> isAnswer;
+  /** An answer without a length is whole once the connection has ended in order. */
+  bool mayEndWithConnection = false;
+  std::function<bool()> mayWrite;       ///< asked before the first byte; false withdraws
   std::function<void(BackResult)> done; ///< called once
 };
 
--- a/libs/http/include/http/FrontListener.h
+++ b/libs/http/include/http/FrontListener.h
@@ -45,6 +45,9 @@
 
   std::size_t connectionCount() const;
 
+  /** Changes how long a request may take to arrive and a connection may be idle. */
+  void setTimeouts(Duration aRequestTimeout, Duration aIdleTimeout);
+
   /** Changes the limits for requests that begin from now on. */
   void setMessageLimits(const MessageLimits& aLimits);
 
--- a/libs/http/include/http/Response.h
+++ b/libs/http/include/http/Response.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <core/Time.h>
 #include <http/Header.h>
+#include <optional>
 
 namespace masticwall::http {
 
@@ -12,6 +14,7 @@
   HeaderList headers;
   std::string body;
   bool keepAlive = true;
+  std::optional<Duration> idleLimit{}; ///< how long the sender keeps the connection idle
 };
 
 } // namespace masticwall::http
--- a/libs/http/src/BackConnection.cpp
+++ b/libs/http/src/BackConnection.cpp
@@ -1,6 +1,7 @@
 #include "BackConnection.h"
 #include <http/BackError.h>
 #include <http/Serializer.h>
+#include <poll.h>
 
 namespace masticwall::http {
 
@@ -92,7 +93,7 @@
     return;
   }
   mIsWritten = true;
-  mParser.emplace(mExchange->limits, mExchange->request.method == "HEAD");
+  beginParsing();
   const std::weak_ptr<BackConnection> weak = weak_from_this();
   mTimeout = mTimers.subscribeIn(mExchange->timeout, [weak] {
     if (const auto self = weak.lock()) {
@@ -103,6 +104,14 @@
   mSocket->flush();
 }
 
+void
+BackConnection::beginParsing()
+{
+  mParser.emplace(mExchange->limits,
+                  mExchange->request.method == "HEAD",
+                  mExchange->mayEndWithConnection);
+}
+
 void
 BackConnection::onReadable()
 {
@@ -112,21 +121,47 @@
     shut();
     return;
   }
-  auto response = mParser->feed(mBytes);
-  if (response.has_error()) {
-    finish(BackError::BadAnswer, {});
-    return;
+  while (mExchange.has_value()) {
+    auto response = mParser->feed(mBytes);
+    if (response.has_error()) {
+      finish(BackError::BadAnswer, {});
+      return;
+    }
+    if (!response.value().has_value()) {
+      return;
+    }
+    onResponse(std::move(*response.value()));
   }
-  if (!response.value().has_value()) {
+}
+
+void
+BackConnection::onResponse(Response aResponse)
+{
+  mLastAlive = mTimers.now();
+  mIdleLimit = aResponse.idleLimit.value_or(mIdleLimit);
+  const auto& isAnswer = mExchange->isAnswer;
+  if (isAnswer != nullptr && !isAnswer(aResponse)) {
+    // A late or surplus answer to another request; this one's may still follow.
+    mIsSpoilt = true;
+    beginParsing();
     return;
   }
-  mLastAlive = mTimers.now();
-  if (!mBytes.isEmpty()) {
+  mIsSpoilt = mIsSpoilt || !mBytes.isEmpty();
+  if (mIsSpoilt && isAnswer == nullptr) {
     // More than was asked for: neither part can be trusted to be the answer.
     finish(BackError::BadAnswer, {});
     return;
   }
-  finish({}, std::move(*response.value()));
+  finish({}, std::move(aResponse));
+}
+
+bool
+BackConnection::wasReset() const
+{
+  // Qt reports a reset and an orderly end alike.
+  pollfd entry{ static_cast<int>(mSocket->socketDescriptor()), POLLIN, 0 };
+  return entry.fd < 0 || poll(&entry, 1, 0) < 0 ||
+         (entry.revents & (POLLERR | POLLHUP | POLLNVAL)) != 0;
 }
 
 void
@@ -136,6 +171,18 @@
     shut();
     return;
   }
+  if (mIsWritten && mExchange->mayEndWithConnection && !wasReset()) {
+    mBytes += mSocket->readAll();
+    auto response = mParser->feed(mBytes);
+    auto whole = mParser->finish();
+    if (response.has_value() && whole.has_value()) {
+      whole.value().keepAlive = false;
+      onResponse(std::move(whole.value()));
+      // Not ours, and nothing more can come.
+      finish(BackError::Closed, {});
+      return;
+    }
+  }
   finish(mIsConnected ? BackError::Closed : BackError::ConnectFailed, {});
 }
 
@@ -149,7 +196,7 @@
   mTimeout.cancel();
   const auto done = std::move(mExchange->done);
   mExchange.reset();
-  const bool isReusable = !aError && aResponse.keepAlive;
+  const bool isReusable = !aError && aResponse.keepAlive && !mIsSpoilt;
   if (!isReusable) {
     shut();
   } else {
--- a/libs/http/src/BackConnection.h
+++ b/libs/http/src/BackConnection.h
@@ -36,12 +36,18 @@
   /** When the other end was last heard of: an answer, or the connection's opening. */
   Instant lastAlive() const { return mLastAlive; }
 
+  /** How long the other end keeps it idle, as last stated. */
+  Duration idleLimit() const { return mIdleLimit; }
+
 private:
   void connectSignals();
   void onConnected();
   void onReadable();
   void onBroken();
+  bool wasReset() const;
+  void onResponse(Response aResponse);
   void write();
+  void beginParsing();
   void finish(std::error_code aError, Response aResponse);
   void shut();
 
@@ -56,8 +62,10 @@
   QByteArray mBytes;
   TimerSubscription mTimeout;
   Instant mLastAlive;
+  Duration mIdleLimit = Duration::max();
   bool mIsConnected = false;
   bool mIsWritten = false;
+  bool mIsSpoilt = false; ///< bytes that belong to no request came on it
   bool mIsClosed = false;
 };
 
--- a/libs/http/src/BackPool.cpp
+++ b/libs/http/src/BackPool.cpp
@@ -14,6 +14,8 @@
 
 /** An idle connection that has not been heard of for so long is closed. */
 constexpr Duration kIdleLimit = std::chrono::seconds(30);
+/** A connection is not used so shortly before the other end may close it. */
+constexpr Duration kIdleMargin = std::chrono::seconds(1);
 constexpr Duration kSweepPeriod = std::chrono::seconds(5);
 
 } // namespace
@@ -45,7 +47,9 @@
   {
     std::shared_ptr<BackConnection> best;
     for (const auto& it : aConnections) {
-      if (it->isIdle() && (best == nullptr || it->lastAlive() > best->lastAlive())) {
+      const bool isSafe = timers.now() - it->lastAlive() < it->idleLimit() - kIdleMargin;
+      if (it->isIdle() && isSafe &&
+          (best == nullptr || it->lastAlive() > best->lastAlive())) {
         best = it;
       }
     }
--- a/libs/http/src/FrontListener.cpp
+++ b/libs/http/src/FrontListener.cpp
@@ -161,4 +161,11 @@
   mImpl->context->settings.message = aLimits;
 }
 
+void
+FrontListener::setTimeouts(Duration aRequestTimeout, Duration aIdleTimeout)
+{
+  mImpl->context->settings.requestTimeout = aRequestTimeout;
+  mImpl->context->settings.idleTimeout = aIdleTimeout;
+}
+
 } // namespace masticwall::http
--- a/libs/http/src/ResponseParser.cpp
+++ b/libs/http/src/ResponseParser.cpp
@@ -1,14 +1,36 @@
 #include "BeastMessage.h"
+#include <charconv>
 #include <http/ResponseParser.h>
 
 namespace masticwall::http {
 
+namespace {
+
+/** The "timeout" parameter of a Keep-Alive field, in seconds. */
+std::optional<Duration>
+idleLimitOf(const std::string& aField)
+{
+  constexpr std::string_view kParameter = "timeout=";
+  const auto at = aField.find(kParameter);
+  int seconds = 0;
+  if (at == std::string::npos) {
+    return std::nullopt;
+  }
+  const auto* const begin = aField.data() + at + kParameter.size();
+  const auto [end, ec] = std::from_chars(begin, aField.data() + aField.size(), seconds);
+  return ec == std::errc() && seconds > 0 ? std::optional<Duration>(1s * seconds)
+                                          : std::nullopt;
+}
+
+} // namespace
+
 struct ResponseParser::Impl
 {
   using Parser = beast::response_parser<beast::string_body>;
 
   MessageLimits limits;
   bool isHead = false;
+  bool mayBeUnframed = false;
   std::optional<Parser> parser;
 
   void reset()
@@ -42,16 +64,20 @@
     response.status = static_cast<int>(message.result_int());
     response.headers = endToEndHeaders(message);
     response.keepAlive = message.keep_alive();
+    response.idleLimit = idleLimitOf(toString(message[beast::field::keep_alive]));
     response.body = std::move(message.body());
     return response;
   }
 };
 
-ResponseParser::ResponseParser(const MessageLimits& aLimits, bool aIsHead)
+ResponseParser::ResponseParser(const MessageLimits& aLimits,
+                               bool aIsHead,
+                               bool aMayBeUnframed)
   : mImpl(std::make_unique<Impl>())
 {
   mImpl->limits = aLimits;
   mImpl->isHead = aIsHead;
+  mImpl->mayBeUnframed = aMayBeUnframed;
   mImpl->reset();
 }
 
@@ -75,7 +101,7 @@
       mImpl->reset();
       continue;
     }
-    if (mImpl->isUnframed()) {
+    if (!mImpl->mayBeUnframed && mImpl->isUnframed()) {
       return HttpError::Unframed;
     }
     if (!mImpl->parser->is_done()) {
@@ -85,4 +111,18 @@
   }
 }
 
+Result<Response>
+ResponseParser::finish()
+{
+  if (!mImpl->parser->is_header_done() || mImpl->isInterim()) {
+    return HttpError::Incomplete;
+  }
+  boost::system::error_code ec;
+  mImpl->parser->put_eof(ec);
+  if (ec) {
+    return HttpError::Incomplete;
+  }
+  return mImpl->take();
+}
+
 } // namespace masticwall::http
--- a/libs/messages/include/messages/Feed.h
+++ b/libs/messages/include/messages/Feed.h
@@ -25,7 +25,8 @@
   int deaths = 0;       ///< that it saw
 };
 
-/** What a control process tells its entry process; parts that are not newer are empty. */
+/** What a process that reads the source tells those that it feeds; parts that are not
+ * newer are empty. */
 struct Feed
 {
   std::uint64_t version = 0;
@@ -35,6 +36,7 @@
   std::uint64_t revision = 0;
   VmList vms; ///< empty if not newer
   std::vector<Suspect> suspects;
+  std::uint64_t ageMs = 0; ///< since the teller last read the source; 0: not told
 };
 
 QByteArray
--- a/libs/messages/include/messages/UpstreamSigns.h
+++ b/libs/messages/include/messages/UpstreamSigns.h
@@ -10,7 +10,8 @@
 /** What an upstream says of itself with an answer. */
 struct UpstreamSigns
 {
-  bool isNotRun = false; ///< it did not run the request
+  bool isNotRun = false;    ///< it did not run the request
+  bool isElsewhere = false; ///< another instance has the address; it was not run
   bool isLeaving = false;
   std::string instance;
   std::optional<LoadReport> load;
--- a/libs/messages/src/Feed.cpp
+++ b/libs/messages/src/Feed.cpp
@@ -21,6 +21,8 @@
   writer.number(Field::OperatorPort, aVm.operatorPort);
   writer.text(Field::Instance, aVm.instance);
   writer.flag(Field::Leaving, aVm.leaving);
+  writer.number(Field::Slots, static_cast<std::uint64_t>(aVm.slots));
+  writer.flag(Field::IsCold, aVm.isCold);
   return writer.map();
 }
 
@@ -40,6 +42,8 @@
   vm.operatorPort = static_cast<std::uint16_t>(reader.number(Field::OperatorPort));
   vm.instance = reader.text(Field::Instance);
   vm.leaving = reader.flag(Field::Leaving);
+  vm.slots = static_cast<int>(reader.number(Field::Slots));
+  vm.isCold = reader.flag(Field::IsCold);
   if (reader.error()) {
     return reader.error();
   }
@@ -117,6 +121,7 @@
   writer.number(Field::Revision, aFeed.revision);
   writer.put(Field::Vms, vms);
   writer.put(Field::Suspects, suspects);
+  writer.number(Field::AgeMs, aFeed.ageMs);
   return writer.bytes();
 }
 
@@ -129,6 +134,7 @@
   feed.preset = reader.text(Field::Preset);
   feed.revision = reader.number(Field::Revision);
   feed.isDelta = reader.flag(Field::IsDelta);
+  feed.ageMs = reader.number(Field::AgeMs);
   for (const auto& it : reader.array(Field::Sections)) {
     CborReader section(it);
     feed.sections[section.text(Field::Section)] = section.text(Field::Text);
--- a/libs/messages/src/Field.h
+++ b/libs/messages/src/Field.h
@@ -46,6 +46,9 @@
   Deaths = 39,
   Suspects = 40,
   IsDelta = 41,
+  Slots = 42,
+  IsCold = 43,
+  AgeMs = 44,
 };
 
 } // namespace masticwall
--- a/libs/runtime/include/runtime/TimerSubscription.h
+++ b/libs/runtime/include/runtime/TimerSubscription.h
@@ -43,6 +43,9 @@
     }
   }
 
+  /** The callback may still run. */
+  bool isActive() const { return mCallback != nullptr && *mCallback != nullptr; }
+
 private:
   std::shared_ptr<Callback> mCallback; ///< shared with the service, emptied on cancel
 };
--- a/libs/runtime/src/SignalWatcher.cpp
+++ b/libs/runtime/src/SignalWatcher.cpp
@@ -8,19 +8,23 @@
 
 namespace {
 
+constexpr char kStop = 1;
+constexpr char kReload = 2;
+
 int sWriteFd = -1;
 
 void
-onSignal(int /*aSignal*/)
+onSignal(int aSignal)
 {
-  const char byte = 1;
+  const char byte = aSignal == SIGHUP ? kReload : kStop;
   [[maybe_unused]] const auto n = write(sWriteFd, &byte, 1);
 }
 
 } // namespace
 
 Result<std::unique_ptr<SignalWatcher>>
-SignalWatcher::create(const std::function<void()>& aOnStop)
+SignalWatcher::create(const std::function<void()>& aOnStop,
+                      const std::function<void()>& aOnReload)
 {
   int fds[2] = { -1, -1 };
   if (pipe2(fds, O_CLOEXEC | O_NONBLOCK) != 0) {
@@ -31,18 +35,21 @@
   action.sa_handler = onSignal;
   sigaction(SIGTERM, &action, nullptr);
   sigaction(SIGINT, &action, nullptr);
-  return std::unique_ptr<SignalWatcher>(new SignalWatcher(fds[0], aOnStop));
+  sigaction(SIGHUP, &action, nullptr);
+  return std::unique_ptr<SignalWatcher>(new SignalWatcher(fds[0], aOnStop, aOnReload));
 }
 
-SignalWatcher::SignalWatcher(int aReadFd, const std::function<void()>& aOnStop)
+SignalWatcher::SignalWatcher(int aReadFd,
+                             const std::function<void()>& aOnStop,
+                             const std::function<void()>& aOnReload)
   : mReadFd(aReadFd)
   , mNotifier(aReadFd, QSocketNotifier::Read)
 {
   QObject::connect(
-    &mNotifier, &QSocketNotifier::activated, &mNotifier, [aReadFd, aOnStop] {
+    &mNotifier, &QSocketNotifier::activated, &mNotifier, [aReadFd, aOnStop, aOnReload] {
       char byte = 0;
       while (read(aReadFd, &byte, 1) == 1) {
-        aOnStop();
+        (byte == kReload ? aOnReload : aOnStop)();
       }
     });
 }
--- a/libs/runtime/src/TimerService.cpp
+++ b/libs/runtime/src/TimerService.cpp
@@ -42,11 +42,13 @@
     if (*entry.callback == nullptr) {
       continue;
     }
+    // A copy, because the callback may cancel its own subscription.
+    const auto callback = *entry.callback;
     if (entry.period > Duration{ 0 }) {
       mEntries.emplace(time + entry.period, entry);
+    } else {
+      *entry.callback = nullptr;
     }
-    // A copy, because the callback may cancel its own subscription.
-    const auto callback = *entry.callback;
     callback();
   }
   arm();
--- a/libs/platform/include/platform/LogClient.h
+++ b/libs/service/include/service/LogClient.h
@@ -6,7 +6,7 @@
 #include <core/Time.h>
 #include <functional>
 #include <memory>
-#include <platform/LogPage.h>
+#include <service/LogPage.h>
 #include <string>
 
 namespace masticwall {
@@ -25,7 +25,7 @@
   explicit LogClient(const QUrl& aBase);
   ~LogClient();
 
-  /** Appends a record; calls back with its offset or a PlatformError. */
+  /** Appends a record; calls back with its offset or a ServiceError. */
   void append(const std::string& aStream,
               const QByteArray& aData,
               Duration aTimeout,
@@ -33,7 +33,7 @@
 
   /**
    * Reads records from `aFrom` on; waits up to `aWait` for the first at the log's side.
-   * Calls back with a page or a PlatformError.
+   * Calls back with a page or a ServiceError.
    */
   void read(const std::string& aStream,
             std::uint64_t aFrom,
--- a/libs/platform/include/platform/LogPage.h
+++ b/libs/service/include/service/LogPage.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <platform/LogRecord.h>
+#include <service/LogRecord.h>
 #include <vector>
 
 namespace masticwall {
--- a/libs/platform/include/platform/PlatformError.h
+++ b/libs/service/include/service/ServiceError.h
@@ -5,7 +5,7 @@
 namespace masticwall {
 
 /** Why the platform's service gave no usable answer. */
-enum class PlatformError
+enum class ServiceError
 {
   Unreachable = 1, ///< no answer; an append may have taken effect
   Refused,         ///< answered with another status than success
@@ -14,14 +14,14 @@
 };
 
 template<>
-struct EnumTable<PlatformError>
+struct EnumTable<ServiceError>
 {
-  static constexpr const char* kCategory = "platform";
-  static constexpr std::array<EnumName<PlatformError>, 4> kEntries{ {
-    { PlatformError::Unreachable, "unreachable" },
-    { PlatformError::Refused, "refused" },
-    { PlatformError::NotModified, "not-modified" },
-    { PlatformError::BadAnswer, "bad-answer" },
+  static constexpr const char* kCategory = "service";
+  static constexpr std::array<EnumName<ServiceError>, 4> kEntries{ {
+    { ServiceError::Unreachable, "unreachable" },
+    { ServiceError::Refused, "refused" },
+    { ServiceError::NotModified, "not-modified" },
+    { ServiceError::BadAnswer, "bad-answer" },
   } };
 };
 
--- a/libs/platform/src/PlatformHttp.h
+++ b/libs/service/include/service/ServiceHttp.h
@@ -13,7 +13,7 @@
  * Idempotent requests to the platform: no redirects, cookies, caches or credentials. A
  * connection on which a request timed out is not used again.
  */
-class PlatformHttp
+class ServiceHttp
 {
 public:
   using Done = std::function<void(Result<QByteArray>)>;
--- a/libs/platform/include/platform/VmListClient.h
+++ b/libs/service/include/service/VmListClient.h
@@ -18,7 +18,7 @@
   explicit VmListClient(const QUrl& aBase);
   ~VmListClient();
 
-  /** Calls back with the list's JSON text or a PlatformError; NotModified if it is the
+  /** Calls back with the list's JSON text or a ServiceError; NotModified if it is the
    * list that was fetched last. */
   void fetch(Duration aTimeout, Done aDone);
 
--- a/libs/platform/src/LogClient.cpp
+++ b/libs/service/src/LogClient.cpp
@@ -1,10 +1,10 @@
-#include "PlatformHttp.h"
 #include <QJsonArray>
 #include <QJsonDocument>
 #include <QJsonObject>
 #include <QUrlQuery>
-#include <platform/LogClient.h>
-#include <platform/PlatformError.h>
+#include <service/LogClient.h>
+#include <service/ServiceError.h>
+#include <service/ServiceHttp.h>
 
 namespace masticwall {
 
@@ -29,7 +29,7 @@
 {
   const auto offset = QJsonDocument::fromJson(aText).object()[QStringLiteral("offset")];
   if (!offset.isDouble()) {
-    return PlatformError::BadAnswer;
+    return ServiceError::BadAnswer;
   }
   return toOffset(offset);
 }
@@ -39,7 +39,7 @@
 {
   const auto object = QJsonDocument::fromJson(aText).object();
   if (!object[QStringLiteral("head")].isDouble()) {
-    return PlatformError::BadAnswer;
+    return ServiceError::BadAnswer;
   }
   LogPage page;
   page.first = toOffset(object[QStringLiteral("first")]);
@@ -58,8 +58,8 @@
 struct LogClient::Impl
 {
   QUrl base;
-  PlatformHttp appends;
-  PlatformHttp reads; ///< apart, so that waiting reads hold up no append
+  ServiceHttp appends;
+  ServiceHttp reads; ///< apart, so that waiting reads hold up no append
 };
 
 LogClient::LogClient(const QUrl& aBase)
--- a/libs/platform/src/PlatformHttp.cpp
+++ b/libs/service/src/ServiceHttp.cpp
@@ -1,7 +1,7 @@
-#include "PlatformHttp.h"
 #include <QNetworkReply>
 #include <QNetworkRequest>
-#include <platform/PlatformError.h>
+#include <service/ServiceError.h>
+#include <service/ServiceHttp.h>
 
 namespace masticwall {
 
@@ -34,16 +34,16 @@
 {
   const auto status = aReply.attribute(QNetworkRequest::HttpStatusCodeAttribute);
   if (!status.isValid()) {
-    return PlatformError::Unreachable;
+    return ServiceError::Unreachable;
   }
   if (status.toInt() == kNotModified) {
-    return PlatformError::NotModified;
+    return ServiceError::NotModified;
   }
   if (status.toInt() != 200) {
-    return PlatformError::Refused;
+    return ServiceError::Refused;
   }
   if (aReply.error() != QNetworkReply::NoError) {
-    return PlatformError::Unreachable;
+    return ServiceError::Unreachable;
   }
   return aReply.readAll();
 }
@@ -51,16 +51,16 @@
 } // namespace
 
 void
-PlatformHttp::get(const QUrl& aUrl, Duration aTimeout, Done aDone)
+ServiceHttp::get(const QUrl& aUrl, Duration aTimeout, Done aDone)
 {
   watch(mNetwork.get(plainRequest(aUrl, aTimeout)), std::move(aDone));
 }
 
 void
-PlatformHttp::getIfChanged(const QUrl& aUrl,
-                           QByteArray& aTag,
-                           Duration aTimeout,
-                           Done aDone)
+ServiceHttp::getIfChanged(const QUrl& aUrl,
+                          QByteArray& aTag,
+                          Duration aTimeout,
+                          Done aDone)
 {
   auto request = plainRequest(aUrl, aTimeout);
   if (!aTag.isEmpty()) {
@@ -76,10 +76,10 @@
 }
 
 void
-PlatformHttp::post(const QUrl& aUrl,
-                   const QByteArray& aBody,
-                   Duration aTimeout,
-                   Done aDone)
+ServiceHttp::post(const QUrl& aUrl,
+                  const QByteArray& aBody,
+                  Duration aTimeout,
+                  Done aDone)
 {
   auto request = plainRequest(aUrl, aTimeout);
   request.setHeader(QNetworkRequest::ContentTypeHeader,
@@ -88,13 +88,13 @@
 }
 
 void
-PlatformHttp::watch(QNetworkReply* aReply, Done aDone)
+ServiceHttp::watch(QNetworkReply* aReply, Done aDone)
 {
   QObject::connect(
     aReply, &QNetworkReply::finished, aReply, [this, aReply, done = std::move(aDone)] {
       aReply->deleteLater();
       const auto result = resultOf(*aReply);
-      if (result.has_error() && result.error() == PlatformError::Unreachable) {
+      if (result.has_error() && result.error() == ServiceError::Unreachable) {
         mNetwork.clearConnectionCache();
       }
       done(result);
--- a/libs/platform/src/VmListClient.cpp
+++ b/libs/service/src/VmListClient.cpp
@@ -1,5 +1,5 @@
-#include "PlatformHttp.h"
-#include <platform/VmListClient.h>
+#include <service/ServiceHttp.h>
+#include <service/VmListClient.h>
 
 namespace masticwall {
 
@@ -7,7 +7,7 @@
 {
   QUrl url;
   QByteArray tag; ///< of the list that was fetched last
-  PlatformHttp http;
+  ServiceHttp http;
 };
 
 VmListClient::VmListClient(const QUrl& aBase)
--- a/libs/settings/include/settings/EntrySettings.h
+++ b/libs/settings/include/settings/EntrySettings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <core/Time.h>
+#include <decide/Locality.h>
 #include <settings/CommonSettings.h>
 #include <settings/SettingsParse.h>
 
@@ -20,6 +21,14 @@
   Duration noticePeriod{ 5s };    ///< from SIGTERM to the last accepted connection
   Duration longestDrain{ 60s };   ///< from SIGTERM to the end at the latest
 
+  Locality locality() const
+  {
+    Locality locality;
+    locality.region = common.region;
+    locality.dataCentre = common.dataCentre;
+    return locality;
+  }
+
   /** Reads flags and environment variables; reports every wrong one at once. */
   static SettingsParse<EntrySettings> parse(int aArgc, const char* const* aArgv);
 };
--- a/libs/tables/include/tables/UpstreamTable.h
+++ b/libs/tables/include/tables/UpstreamTable.h
@@ -17,6 +17,7 @@
   Rank rank = Rank::Standard;
   std::size_t bytes = 0; ///< expected on the link, if another region is taken
   std::vector<std::string> excluded;
+  Duration longest = Duration::max(); ///< no upstream is chosen that would take longer
 };
 
 /**
@@ -26,7 +27,7 @@
 class UpstreamTable
 {
 public:
-  UpstreamTable(std::string aRegion, std::uint64_t aSeed);
+  UpstreamTable(Locality aLocality, std::uint64_t aSeed);
 
   /** Takes the list of upstreams and the limits of `aPreset`. */
   void update(const Preset& aPreset,
@@ -34,8 +35,9 @@
               Instant aNow);
 
   /**
-   * Chooses an upstream and counts a call on it: the local region first, then others
-   * within the link's budget. Fails with CallError::NoUpstream.
+   * Chooses an upstream and counts a call on it: by the estimated latency, if that is the
+   * preset's policy; otherwise the local region first, then others within the link's
+   * budget. Fails with CallError::NoUpstream.
    */
   Result<UpstreamAddress> choose(const UpstreamQuery& aQuery, Instant aNow);
 
@@ -51,10 +53,13 @@
   std::vector<UpstreamState> snapshot() const;
 
 private:
+  const UpstreamState* chooseByRegion(UpstreamPool& aPool,
+                                      const UpstreamQuery& aQuery,
+                                      Instant aNow);
   bool payForLink(const UpstreamQuery& aQuery, Instant aNow);
 
   mutable OrderedMutex mMutex{ LockLevel::Upstream };
-  std::string mRegion;
+  Locality mLocality;
   std::mt19937_64 mRandom;
   std::unordered_map<std::string, UpstreamPool> mPools;
   ChoicePolicy mChoice = ChoicePolicy::AgedLoad;
--- a/libs/tables/src/UpstreamTable.cpp
+++ b/libs/tables/src/UpstreamTable.cpp
@@ -3,8 +3,8 @@
 
 namespace masticwall {
 
-UpstreamTable::UpstreamTable(std::string aRegion, std::uint64_t aSeed)
-  : mRegion(std::move(aRegion))
+UpstreamTable::UpstreamTable(Locality aLocality, std::uint64_t aSeed)
+  : mLocality(std::move(aLocality))
   , mRandom(aSeed)
 {
 }
@@ -33,20 +33,37 @@
 {
   std::scoped_lock lock(mMutex);
   auto& pool = mPools[aQuery.service];
-  for (const auto& region : pool.regions(mRegion)) {
-    if (region != mRegion && !payForLink(aQuery, aNow)) {
+  const auto* const chosen =
+    mChoice == ChoicePolicy::EstimatedLatency
+      ? pool.chooseNearest(
+          mLocality, aQuery.longest, mMaxInFlight, aQuery.excluded, aNow, mRandom)
+      : chooseByRegion(pool, aQuery, aNow);
+  if (chosen == nullptr) {
+    return CallError::NoUpstream;
+  }
+  return chosen->address;
+}
+
+const UpstreamState*
+UpstreamTable::chooseByRegion(UpstreamPool& aPool,
+                              const UpstreamQuery& aQuery,
+                              Instant aNow)
+{
+  for (const auto& region : aPool.regions(mLocality.region)) {
+    const bool isLocal = region == mLocality.region;
+    if (!isLocal && !payForLink(aQuery, aNow)) {
       continue;
     }
     const auto* const chosen =
-      pool.choose(mChoice, region, mMaxInFlight, aQuery.excluded, aNow, mRandom);
+      aPool.choose(mChoice, region, mMaxInFlight, aQuery.excluded, aNow, mRandom);
     if (chosen != nullptr) {
-      return chosen->address;
+      return chosen;
     }
-    if (region != mRegion) {
+    if (!isLocal) {
       mLinkBucket.put(static_cast<double>(aQuery.bytes));
     }
   }
-  return CallError::NoUpstream;
+  return nullptr;
 }
 
 void
--- a/libs/telemetry/include/telemetry/LogEvent.h
+++ b/libs/telemetry/include/telemetry/LogEvent.h
@@ -33,13 +33,22 @@
   SuspectStopped,
   OrderUnknown,
   MessageBad,
+  ReloadRequested,
+  Reloaded,
+  CallRefused,
+  SourceUnreachable,
+  SourceReachable,
+  SourceChanged,
+  SourceTakenOver,
+  FeedLost,
+  RecordBad,
   Suppressed,
 };
 
 template<>
 struct EnumTable<LogEvent>
 {
-  static constexpr std::array<EnumName<LogEvent>, 26> kEntries{ {
+  static constexpr std::array<EnumName<LogEvent>, 35> kEntries{ {
     { LogEvent::Started, "started" },
     { LogEvent::Stopped, "stopped" },
     { LogEvent::StopRequested, "stop-requested" },
@@ -65,6 +74,15 @@
     { LogEvent::SuspectStopped, "suspect-stopped" },
     { LogEvent::OrderUnknown, "order-unknown" },
     { LogEvent::MessageBad, "message-bad" },
+    { LogEvent::ReloadRequested, "reload-requested" },
+    { LogEvent::Reloaded, "reloaded" },
+    { LogEvent::CallRefused, "call-refused" },
+    { LogEvent::SourceUnreachable, "source-unreachable" },
+    { LogEvent::SourceReachable, "source-reachable" },
+    { LogEvent::SourceChanged, "source-changed" },
+    { LogEvent::SourceTakenOver, "source-taken-over" },
+    { LogEvent::FeedLost, "feed-lost" },
+    { LogEvent::RecordBad, "record-bad" },
     { LogEvent::Suppressed, "suppressed" },
   } };
 };
--- a/libs/telemetry/include/telemetry/OperatorServer.h
+++ b/libs/telemetry/include/telemetry/OperatorServer.h
@@ -14,13 +14,14 @@
 {
   std::function<QJsonObject()> state;
   std::function<std::string()> metrics; ///< may be empty
+  std::function<bool()> isReady;        ///< for a balancer's checks; may be empty
   std::function<bool()> isLeaving;
   std::function<void()> drain; ///< asked for by POST /drain
 };
 
 /**
- * The operators' port: GET /health, /state, /metrics, /version and POST /drain. Lives
- * on the thread that made it.
+ * The operators' port: GET /ready, /health, /state, /metrics, /version and POST /drain.
+ * Lives on the thread that made it.
  */
 class OperatorServer
 {
--- a/libs/telemetry/src/OperatorServer.cpp
+++ b/libs/telemetry/src/OperatorServer.cpp
@@ -38,6 +38,12 @@
   impl->pages = std::move(aPages);
   auto& server = impl->server;
   const auto* const pages = &impl->pages;
+  server.route(QStringLiteral("/ready"), [pages] {
+    const bool isReady = pages->isReady != nullptr && pages->isReady();
+    return QHttpServerResponse(isReady
+                                 ? QHttpServerResponse::StatusCode::Ok
+                                 : QHttpServerResponse::StatusCode::ServiceUnavailable);
+  });
   server.route(QStringLiteral("/health"), [pages] { return healthAnswer(*pages); });
   server.route(QStringLiteral("/state"),
                [pages] { return QHttpServerResponse(pages->state()); });
