--- /dev/null
+++ b/libs/gateway/include/gateway/FollowTimes.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <core/Time.h>
+
+namespace masticwall {
+
+/** The section of a feed that holds a whole configuration. */
+inline constexpr const char* kWholePreset = "whole";
+
+/** How often the source is read: an upstream's leaving must be known within 2 s. */
+inline constexpr Duration kReadPeriod = std::chrono::milliseconds(600);
+inline constexpr Duration kLongestReadDelay = std::chrono::seconds(3);
+
+/** A feed without news is answered after so long, with the age of what is known. */
+inline constexpr Duration kLongestFeedWait = std::chrono::milliseconds(500);
+
+/** A VM that has not answered by then is given up as a source. */
+inline constexpr Duration kFeedTimeout = std::chrono::milliseconds(900);
+
+/** What was read longer ago than this is out of date: two readings were missed. */
+inline constexpr Duration kStaleAfter = std::chrono::milliseconds(1600);
+
+/** How often a better source than the present one is tried. */
+inline constexpr Duration kProbePeriod = std::chrono::seconds(3);
+
+/** VMs that start together read the source at different times within this span. */
+inline constexpr Duration kStartSpread = std::chrono::milliseconds(200);
+inline constexpr Duration kAnnounceRetry = std::chrono::seconds(3);
+
+} // namespace masticwall
--- /dev/null
+++ b/libs/gateway/include/gateway/GatewayDaemon.h
@@ -0,0 +1,166 @@
+#pragma once
+
+#include <entry/EntryProcess.h>
+#include <feed/PeerNotices.h>
+#include <gateway/Follower.h>
+#include <gateway/Platform.h>
+
+namespace masticwall {
+
+/**
+ * A whole VM of masticwall in one process: an entry and the follower that feeds it. Made
+ * and used on the main thread, which must run a Qt event loop.
+ */
+template<Platform P>
+class GatewayDaemon
+{
+public:
+  using Ended = std::function<void(int)>;
+
+  /** Starts to listen. Fails with the system's error if a port can't be listened on. */
+  static Result<std::unique_ptr<GatewayDaemon>> create(const GatewaySettings& aSettings,
+                                                       Ended aEnded)
+  {
+    auto daemon = std::unique_ptr<GatewayDaemon>(new GatewayDaemon(aSettings));
+    BOOST_OUTCOME_TRYV(daemon->start(std::move(aEnded)));
+    return daemon;
+  }
+
+  /** Begins to leave; see EntryProcess::requestStop(). */
+  void requestStop() { mProcess->requestStop(); }
+
+  /** Reads the settings anew; those that a running process can take are taken. */
+  void reload();
+
+private:
+  explicit GatewayDaemon(const GatewaySettings& aSettings)
+    : mSettings(aSettings)
+    , mSource(aSettings)
+  {
+  }
+
+  Result<void> start(Ended aEnded);
+  Backplane makeBackplane();
+  void serve(const std::string& aPath,
+             const QByteArray& aBody,
+             const PeerServer::Reply& aReply);
+  void onSuspect(const QByteArray& aBody, const PeerServer::Reply& aReply);
+  Vm ownVm() const;
+
+  GatewaySettings mSettings;
+  TimerService mTimers;
+  typename P::Source mSource;
+  std::unique_ptr<EntryProcess> mProcess;
+  std::unique_ptr<PeerNotices> mNotices;
+  std::unique_ptr<Follower<typename P::Source>> mFollower;
+  std::unique_ptr<PeerServer> mServer;
+};
+
+template<Platform P>
+Result<void>
+GatewayDaemon<P>::start(Ended aEnded)
+{
+  BOOST_OUTCOME_TRY(
+    process,
+    EntryProcess::create(
+      mTimers, mSettings.entry, tableOf<typename P::Dialect>(), std::move(aEnded)));
+  mProcess = std::move(process);
+  auto& tables = mProcess->tables();
+  mNotices =
+    std::make_unique<PeerNotices>(mTimers, tables.membership, mSettings.entry.common.vm);
+  mFollower = std::make_unique<Follower<typename P::Source>>(
+    mTimers, tables, mSource, ownVm(), [this] { mProcess->onTablesChanged(); });
+  mProcess->setBackplane(makeBackplane());
+  BOOST_OUTCOME_TRY(
+    server,
+    PeerServer::listen(
+      mTimers,
+      QHostAddress(QString::fromStdString(mSettings.entry.common.host)),
+      mSettings.peerPort,
+      [this](const std::string& aPath,
+             const QByteArray& aBody,
+             const PeerServer::Reply& aReply) { serve(aPath, aBody, aReply); }));
+  mServer = std::move(server);
+  mFollower->start(mSettings.seeds);
+  return success();
+}
+
+template<Platform P>
+Vm
+GatewayDaemon<P>::ownVm() const
+{
+  const auto& entry = mSettings.entry;
+  Vm vm;
+  vm.name = entry.common.vm;
+  vm.role = VmRole::Masticwall;
+  vm.region = entry.common.region;
+  vm.dataCentre = entry.common.dataCentre;
+  vm.host = entry.common.host;
+  vm.port = entry.port;
+  vm.controlPort = mSettings.peerPort;
+  vm.operatorPort = entry.operatorPort;
+  return vm;
+}
+
+template<Platform P>
+Backplane
+GatewayDaemon<P>::makeBackplane()
+{
+  Backplane backplane;
+  backplane.reportSuspect = [this](const Suspect& aSuspect, std::function<void()> aDone) {
+    mNotices->tellAll(paths::kSuspect, encode(aSuspect), std::move(aDone));
+  };
+  backplane.isConnected = [this] { return mFollower->age() < kStaleAfter; };
+  return backplane;
+}
+
+template<Platform P>
+void
+GatewayDaemon<P>::serve(const std::string& aPath,
+                        const QByteArray& aBody,
+                        const PeerServer::Reply& aReply)
+{
+  if (aPath == paths::kFeed) {
+    const auto have = decodeFeedRequest(aBody);
+    if (have.has_value()) {
+      mFollower->serve(have.value(), aReply);
+      return;
+    }
+  }
+  if (aPath == paths::kSuspect) {
+    onSuspect(aBody, aReply);
+    return;
+  }
+  logEvent(LogEvent::MessageBad, { { "path", aPath } });
+  aReply(std::nullopt);
+}
+
+template<Platform P>
+void
+GatewayDaemon<P>::onSuspect(const QByteArray& aBody, const PeerServer::Reply& aReply)
+{
+  const auto suspect = decodeSuspect(aBody);
+  if (suspect.has_error()) {
+    logEvent(LogEvent::MessageBad, { { "error", suspect.error().message() } });
+    aReply(std::nullopt);
+    return;
+  }
+  const auto& it = suspect.value();
+  mProcess->tables().suspects.merge(it.request, it.reporter, it.deaths, mTimers.now());
+  aReply(QByteArray());
+}
+
+template<Platform P>
+void
+GatewayDaemon<P>::reload()
+{
+  const auto settings = P::readSettings();
+  if (settings.has_error()) {
+    logEvent(LogEvent::SettingsWrong, { { "error", settings.error().message() } });
+    return;
+  }
+  mSource.setBudgets(settings.value());
+  logEvent(LogEvent::Reloaded);
+}
+
+} // namespace masticwall
--- /dev/null
+++ b/libs/gateway/include/gateway/Platform.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <entry/Dialect.h>
+#include <gateway/GatewaySettings.h>
+#include <gateway/Source.h>
+#include <settings/SettingsParse.h>
+
+namespace masticwall {
+
+/** What masticwall meets at the place where it runs. It translates and decides nothing.
+ */
+template<class P>
+concept Platform = Dialect<typename P::Dialect> && Source<typename P::Source> &&
+  std::constructible_from<typename P::Source, const GatewaySettings&> && requires
+{
+  {
+    P::readSettings()
+    } -> std::same_as<Result<GatewaySettings>>;
+};
+
+} // namespace masticwall
