Hold lapsed entries only where they are known, and never unsay a leaving

Ruled out: an old list (its age was 920 ms); the store (the entry was gone there). Change: held entries are marked; a VM takes them only if it knows them; an instance listed as leaving stays so whoever tells.

--- a/libs/decide/include/decide/UpstreamHold.h
+++ b/libs/decide/include/decide/UpstreamHold.h
@@ -6,15 +6,24 @@
 namespace masticwall {
 
 /**
- * Merges what the source lists with what is known. Entries that are missing are held for
- * a while after the source was out of reach, because they may have lapsed with it; an
- * instance that once was listed as leaving stays so. Not thread-safe.
+ * Merges what the source lists, or another VM tells, with what is known here. An instance
+ * that once was listed as leaving stays so. Not thread-safe.
  */
 class UpstreamHold
 {
 public:
-  /** `aRead` was read at `aNow`, after `aLastRead`, when `aKnown` was the list. */
-  VmList merge(const VmList& aKnown, VmList aRead, Instant aLastRead, Instant aNow);
+  /**
+   * `aRead` was read at `aNow`, after `aLastRead`, when `aKnown` was the list. Entries
+   * that are missing are held for a while after the source was out of reach, because they
+   * may have lapsed with it.
+   */
+  VmList mergeRead(const VmList& aKnown, VmList aRead, Instant aLastRead, Instant aNow);
+
+  /**
+   * `aTold` is what another VM knows. Entries that it holds are taken only if they are
+   * known here: it may have been out of reach for longer than this VM.
+   */
+  static VmList mergeTold(const VmList& aKnown, VmList aTold);
 
 private:
   Instant mHoldUntil;
--- a/libs/decide/include/decide/Vm.h
+++ b/libs/decide/include/decide/Vm.h
@@ -22,6 +22,7 @@
   std::string instance;           ///< changes when the VM is started anew
   bool leaving = false;
   int slots = 0;       ///< upstreams only: calls run at a time; 0: as the service states
+  bool isHeld = false; ///< not listed any more, but kept for now; see UpstreamHold
   bool isCold = false; ///< upstreams only: it says that it is slow, having just started
 
   bool operator==(const Vm&) const = default;
--- a/libs/decide/src/UpstreamHold.cpp
+++ b/libs/decide/src/UpstreamHold.cpp
@@ -11,27 +11,61 @@
 /** Upstreams that live are listed again so soon after the source's return. */
 constexpr Duration kReturnTime = std::chrono::seconds(2);
 
+/** The entry of the same VM; null if there is none. */
+template<class List>
+auto*
+findSame(List& aList, const Vm& aVm)
+{
+  const auto it = std::find_if(aList.begin(), aList.end(), [&](const Vm& aOther) {
+    return aOther.role == aVm.role && aOther.name == aVm.name;
+  });
+  return it == aList.end() ? nullptr : &*it;
+}
+
+void
+keepLeaving(const VmList& aKnown, VmList& aList)
+{
+  for (auto& it : aList) {
+    const auto* const known = findSame(aKnown, it);
+    if (known != nullptr && known->instance == it.instance) {
+      it.leaving = it.leaving || known->leaving;
+    }
+  }
+}
+
 } // namespace
 
 VmList
-UpstreamHold::merge(const VmList& aKnown, VmList aRead, Instant aLastRead, Instant aNow)
+UpstreamHold::mergeRead(const VmList& aKnown,
+                        VmList aRead,
+                        Instant aLastRead,
+                        Instant aNow)
 {
   if (aLastRead != Instant{} && aNow - aLastRead > kOutage) {
     mHoldUntil = aNow + kReturnTime;
   }
-  for (const auto& known : aKnown) {
-    const auto it = std::find_if(aRead.begin(), aRead.end(), [&](const Vm& aVm) {
-      return aVm.role == known.role && aVm.name == known.name;
-    });
-    if (it == aRead.end()) {
-      if (aNow < mHoldUntil && known.role == VmRole::Upstream) {
-        aRead.push_back(known);
-      }
-    } else if (it->instance == known.instance) {
-      it->leaving = it->leaving || known.leaving;
+  keepLeaving(aKnown, aRead);
+  for (const auto& it : aKnown) {
+    const bool isMissing = it.role == VmRole::Upstream && findSame(aRead, it) == nullptr;
+    if (isMissing && aNow < mHoldUntil) {
+      aRead.push_back(it);
+      aRead.back().isHeld = true;
     }
   }
   return aRead;
 }
 
+VmList
+UpstreamHold::mergeTold(const VmList& aKnown, VmList aTold)
+{
+  if (!aKnown.empty()) {
+    std::erase_if(aTold, [&](const Vm& aVm) {
+      const auto* const known = findSame(aKnown, aVm);
+      return aVm.isHeld && (known == nullptr || known->instance != aVm.instance);
+    });
+  }
+  keepLeaving(aKnown, aTold);
+  return aTold;
+}
+
 } // namespace masticwall
--- a/libs/gateway/include/gateway/Follower.h
+++ b/libs/gateway/include/gateway/Follower.h
@@ -181,7 +181,7 @@
   }
   // What was read earlier than what is known here would bring old entries back.
   if (readAt + kReadPeriod >= mKnown.readAt() && !aFeed.vms.empty()) {
-    putVms(aFeed.vms);
+    putVms(UpstreamHold::mergeTold(mTables.membership.current(), aFeed.vms));
   }
   mKnown.noteRead(readAt);
   return mTimers.now() - readAt < kStaleAfter;
@@ -256,7 +256,8 @@
     const auto& reading = aReading.value();
     const bool isFirst = mKnown.presetVersion() == 0;
     const auto known = mTables.membership.current();
-    const auto vms = mHold.merge(known, reading.vms, isFirst ? Instant{} : mKnown.readAt(), now);
+    const auto vms =
+      mHold.mergeRead(known, reading.vms, isFirst ? Instant{} : mKnown.readAt(), now);
     mKnown.noteRead(now);
     putPreset(reading.version, reading.presetText);
     putVms(vms);
--- a/libs/messages/src/Feed.cpp
+++ b/libs/messages/src/Feed.cpp
@@ -23,6 +23,7 @@
   writer.flag(Field::Leaving, aVm.leaving);
   writer.number(Field::Slots, static_cast<std::uint64_t>(aVm.slots));
   writer.flag(Field::IsCold, aVm.isCold);
+  writer.flag(Field::IsHeld, aVm.isHeld);
   return writer.map();
 }
 
@@ -44,6 +45,7 @@
   vm.leaving = reader.flag(Field::Leaving);
   vm.slots = static_cast<int>(reader.number(Field::Slots));
   vm.isCold = reader.flag(Field::IsCold);
+  vm.isHeld = reader.flag(Field::IsHeld);
   if (reader.error()) {
     return reader.error();
   }
--- a/libs/messages/src/Field.h
+++ b/libs/messages/src/Field.h
@@ -49,6 +49,7 @@
   Slots = 42,
   IsCold = 43,
   AgeMs = 44,
+  IsHeld = 45,
 };
 
 } // namespace masticwall
