Ask upstreams for their load just before a call is sent

Change: the three favourites whose report is older than 60 ms are asked on their health path, for at most 12 ms, within the budget of probes of all VMs; one that can't be reached backs off.

--- a/libs/decide/include/decide/Limits.h
+++ b/libs/decide/include/decide/Limits.h
@@ -19,6 +19,7 @@
   double retryBurst = 10.0;        ///< retries of a service beyond that share
   Duration headerTimeout{ 0 };     ///< for a request's header; 0: as the settings say
   Duration idleTimeout{ 0 };       ///< between a connection's requests; 0: likewise
+  int loadQueries = 0; ///< upstreams asked for their load before a call is sent
 
   /** Connections and the burst of retries are for all VMs together, not for each. */
   bool areShared = false;
--- a/libs/decide/include/decide/Service.h
+++ b/libs/decide/include/decide/Service.h
@@ -8,7 +8,8 @@
 struct Service
 {
   std::string name;
-  int slots = 4; ///< calls that one upstream runs at a time
+  int slots = 4;            ///< calls that one upstream runs at a time
+  std::string healthPath{}; ///< answered at once, with the load; empty: there is none
 };
 
 } // namespace masticwall
--- a/libs/decide/include/decide/UpstreamPool.h
+++ b/libs/decide/include/decide/UpstreamPool.h
@@ -79,6 +79,41 @@
     return best;
   }
 
+  /**
+   * Of the `aCount` upstreams that chooseNearest() would favour, those whose load report
+   * is older than `aFreshFor`.
+   */
+  template<RandomSource R>
+  std::vector<UpstreamAddress> staleFavourites(const Locality& aLocality,
+                                               int aMaxInFlight,
+                                               const std::vector<std::string>& aExcluded,
+                                               std::size_t aCount,
+                                               Duration aFreshFor,
+                                               Instant aNow,
+                                               R& aRandom)
+  {
+    const auto candidates = eligible({}, aMaxInFlight, aExcluded, aNow);
+    const EstimatedLatency score{ aLocality, typicalWork() };
+    std::uniform_real_distribution<double> blur(1.0, kBlur);
+    std::vector<std::pair<double, UpstreamState*>> ranked;
+    for (auto* const it : candidates) {
+      ranked.emplace_back(score(*it, aNow) * blur(aRandom), it);
+    }
+    const auto n = std::min(aCount, ranked.size());
+    std::partial_sort(
+      ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(n), ranked.end());
+    std::vector<UpstreamAddress> stale;
+    for (std::size_t i = 0; i < n; ++i) {
+      if (aNow - ranked[i].second->load.at > aFreshFor) {
+        stale.push_back(ranked[i].second->address);
+      }
+    }
+    return stale;
+  }
+
+  /** `aName` could not be reached, though no call was sent to it. */
+  void reportUnreachable(std::string_view aName, Instant aNow);
+
   /** A call on `aName` ended. `aLatency` counts for answered calls only. */
   void finished(std::string_view aName, CallEnd aEnd, Duration aLatency, Instant aNow);
 
--- a/libs/decide/src/UpstreamPool.cpp
+++ b/libs/decide/src/UpstreamPool.cpp
@@ -129,6 +129,15 @@
   }
 }
 
+void
+UpstreamPool::reportUnreachable(std::string_view aName, Instant aNow)
+{
+  if (auto* const state = find(aName)) {
+    ++state->failuresInARow;
+    state->backOffUntil = aNow + backOffAfter(state->failuresInARow);
+  }
+}
+
 void
 UpstreamPool::markLeaving(std::string_view aName, std::string_view aInstance)
 {
--- a/libs/entry/src/Call.h
+++ b/libs/entry/src/Call.h
@@ -39,6 +39,8 @@
   Digest key;
   Digest fingerprint; ///< of the request; set for orders, and for others when needed
 
+  std::size_t loadQueries = 0; ///< without an answer yet, while Asking
+  TimerSubscription askingTimer;
   std::optional<UpstreamAddress> upstream; ///< while Sending or Settling
   std::uint64_t exchange = 0;
   Instant sentAt;
--- a/libs/entry/src/EntryWorker.cpp
+++ b/libs/entry/src/EntryWorker.cpp
@@ -68,6 +68,8 @@
     limits.areShared ? mTables.entryCount * kMembershipMargin * workers : workers;
   mBack.setConnectionsPerUpstream(
     std::max(kFewestConnections, limits.connectionsPerUpstream / sharers));
+  const auto asked = preset->measuring.probesPerSecond * mTables.upstreamCount / sharers;
+  mLoadQueries.configure(asked, asked);
   mRetryBudget.configure(limits.retryBudget, limits.retryBurst / sharers);
   if (limits.idleTimeout > Duration{ 0 }) {
     mFront->setTimeouts(limits.headerTimeout, limits.idleTimeout);
--- a/libs/entry/src/EntryWorker.h
+++ b/libs/entry/src/EntryWorker.h
@@ -59,8 +59,17 @@
   void beginAdmission(Call& aCall);
   void askClaim(Call& aCall);
 
+  // Asking for loads
+  void askLoads(Call& aCall);
+  void askLoad(std::uint64_t aCall, const UpstreamAddress& aUpstream, std::string aPath);
+  void onLoad(std::uint64_t aCall,
+              const UpstreamAddress& aUpstream,
+              const http::BackResult& aResult);
+  void stopAsking(std::uint64_t aCall);
+
   // Sending
   void sendIfReady(Call& aCall);
+  UpstreamQuery queryOf(const Call& aCall) const;
   void send(Call& aCall);
   http::Exchange makeExchange(const Call& aCall);
   void onExchange(std::uint64_t aCall, const http::BackResult& aResult);
@@ -104,6 +113,7 @@
   std::unique_ptr<http::FrontListener> mFront;
   std::unordered_map<std::uint64_t, std::unique_ptr<Call>> mCalls;
   std::uint64_t mNextCall = 1;
+  TokenBucket mLoadQueries{ 0, 0 };
   RetryBudget mRetryBudget;
   TrafficSplit mSplit;
   std::mt19937_64 mRandom;
--- a/libs/entry/src/EntryWorkerEnding.cpp
+++ b/libs/entry/src/EntryWorkerEnding.cpp
@@ -33,6 +33,7 @@
   }
   switch (call->stage) {
     case CallStage::Waiting:
+    case CallStage::Asking:
       endWith(*call, CallError::QueueTimeout);
       return;
     case CallStage::Watching:
--- a/libs/entry/src/EntryWorkerSending.cpp
+++ b/libs/entry/src/EntryWorkerSending.cpp
@@ -24,10 +24,20 @@
 EntryWorker::sendIfReady(Call& aCall)
 {
   if (aCall.holdsSlot && aCall.isGranted && aCall.stage == CallStage::Waiting) {
-    send(aCall);
+    askLoads(aCall);
   }
 }
 
+UpstreamQuery
+EntryWorker::queryOf(const Call& aCall) const
+{
+  return { aCall.service,
+           aCall.route->rank,
+           aCall.request.body.size() + kExpectedAnswerBytes,
+           aCall.excluded,
+           aCall.deadline - mTimers.now() };
+}
+
 void
 EntryWorker::send(Call& aCall)
 {
@@ -36,13 +46,7 @@
     endWith(aCall, CallError::QueueTimeout);
     return;
   }
-  const auto chosen =
-    mTables.upstreams.choose({ aCall.service,
-                               aCall.route->rank,
-                               aCall.request.body.size() + kExpectedAnswerBytes,
-                               aCall.excluded,
-                               aCall.deadline - now },
-                             now);
+  const auto chosen = mTables.upstreams.choose(queryOf(aCall), now);
   if (chosen.has_error()) {
     if (aCall.lastAnswer.has_value()) {
       endWithAnswer(aCall, *std::exchange(aCall.lastAnswer, std::nullopt));
@@ -129,7 +133,7 @@
   if (isError && mayTryAgain(aCall)) {
     aCall.stage = CallStage::Waiting;
     aCall.lastAnswer = aResponse;
-    send(aCall);
+    askLoads(aCall);
     return;
   }
   endWithAnswer(aCall, aResponse);
@@ -269,7 +273,7 @@
     return;
   }
   aCall.stage = CallStage::Waiting;
-  send(aCall);
+  askLoads(aCall);
 }
 
 void
--- a/libs/entry/src/MembershipIntake.cpp
+++ b/libs/entry/src/MembershipIntake.cpp
@@ -53,6 +53,7 @@
   aTables.entryCount = entriesIn(list, {});
   const auto& region = aTables.settings.common.region;
   const auto addresses = upstreamsOf(list);
+  aTables.upstreamCount = static_cast<int>(addresses.size());
   aTables.upstreams.update(*preset, addresses, aNow);
   for (const auto& it : list) {
     if (it.role == VmRole::Upstream && it.leaving) {
--- a/libs/tables/include/tables/UpstreamTable.h
+++ b/libs/tables/include/tables/UpstreamTable.h
@@ -41,11 +41,21 @@
    */
   Result<UpstreamAddress> choose(const UpstreamQuery& aQuery, Instant aNow);
 
+  /**
+   * The upstreams whose load should be asked for before choose(), because they are likely
+   * to be chosen and their last report is older than `aFreshFor`.
+   */
+  std::vector<UpstreamAddress> staleFavourites(const UpstreamQuery& aQuery,
+                                               std::size_t aCount,
+                                               Duration aFreshFor,
+                                               Instant aNow);
+
   void finished(const UpstreamAddress& aUpstream,
                 CallEnd aEnd,
                 Duration aLatency,
                 Instant aNow);
   void reportLoad(const UpstreamAddress& aUpstream, const LoadReport& aLoad);
+  void reportUnreachable(const UpstreamAddress& aUpstream, Instant aNow);
   void markLeaving(const UpstreamAddress& aUpstream);
 
   /** The slots of a service in a region, without those of leaving upstreams. */
--- a/libs/tables/src/UpstreamTable.cpp
+++ b/libs/tables/src/UpstreamTable.cpp
@@ -66,6 +66,17 @@
   return nullptr;
 }
 
+std::vector<UpstreamAddress>
+UpstreamTable::staleFavourites(const UpstreamQuery& aQuery,
+                               std::size_t aCount,
+                               Duration aFreshFor,
+                               Instant aNow)
+{
+  std::scoped_lock lock(mMutex);
+  return mPools[aQuery.service].staleFavourites(
+    mLocality, mMaxInFlight, aQuery.excluded, aCount, aFreshFor, aNow, mRandom);
+}
+
 void
 UpstreamTable::finished(const UpstreamAddress& aUpstream,
                         CallEnd aEnd,
@@ -83,6 +94,13 @@
   mPools[aUpstream.service].reportLoad(aUpstream.name, aLoad);
 }
 
+void
+UpstreamTable::reportUnreachable(const UpstreamAddress& aUpstream, Instant aNow)
+{
+  std::scoped_lock lock(mMutex);
+  mPools[aUpstream.service].reportUnreachable(aUpstream.name, aNow);
+}
+
 void
 UpstreamTable::markLeaving(const UpstreamAddress& aUpstream)
 {
