Prefer near upstreams, ask farther ones only when they become the favourite

Change: a second round asks only the upstream that the first round made the favourite; the distance counts as 120 ms (zone) and 400 ms (region). The source is tried again every 0.6 s while it is away, with one call, so that held entries are dropped while a machine that was cut off is not yet in touch; a VM that returns asks its peers every second.

--- a/libs/decide/include/decide/Locality.h
+++ b/libs/decide/include/decide/Locality.h
@@ -13,8 +13,8 @@
 {
   std::string region;
   std::string dataCentre;
-  Duration otherDataCentre{ 10ms };
-  Duration otherRegion{ 80ms };
+  Duration otherDataCentre{ 120ms };
+  Duration otherRegion{ 400ms };
 };
 
 } // namespace masticwall
--- a/libs/decide/src/UpstreamHold.cpp
+++ b/libs/decide/src/UpstreamHold.cpp
@@ -8,8 +8,11 @@
 /** Without a reading for so long, the source counts as having been out of reach. */
 constexpr Duration kOutage = std::chrono::milliseconds(1600);
 
-/** Upstreams that live are listed again so soon after the source's return. */
-constexpr Duration kReturnTime = std::chrono::seconds(2);
+/**
+ * Upstreams that live are listed again within 2 s of the source's return, which was up to
+ * one attempt before the first reading.
+ */
+constexpr Duration kReturnTime = std::chrono::milliseconds(1700);
 
 /** The entry of the same VM; null if there is none. */
 template<class List>
--- a/libs/entry/src/Call.h
+++ b/libs/entry/src/Call.h
@@ -40,6 +40,7 @@
   Digest fingerprint; ///< of the request; set for orders, and for others when needed
 
   std::size_t loadQueries = 0; ///< without an answer yet, while Asking
+  int askingRounds = 0;
   TimerSubscription askingTimer;
   std::optional<UpstreamAddress> upstream; ///< while Sending or Settling
   std::uint64_t exchange = 0;
--- a/libs/entry/src/EntryWorkerAsking.cpp
+++ b/libs/entry/src/EntryWorkerAsking.cpp
@@ -12,6 +12,7 @@
 
 /** Answers that take longer are not waited for; a near one takes some milliseconds. */
 constexpr Duration kLongestAsking = std::chrono::milliseconds(12);
+constexpr int kMostRounds = 2;
 constexpr Duration kQueryTimeout = std::chrono::milliseconds(250);
 
 const std::string*
@@ -31,8 +32,12 @@
 EntryWorker::askLoads(Call& aCall)
 {
   const auto now = mTimers.now();
-  const auto n = aCall.preset->limits.loadQueries;
-  const auto* const path = n > 0 ? healthPathOf(*aCall.preset, aCall.service) : nullptr;
+  // The first round asks the usual favourites, which are near. Only if what they say
+  // makes another upstream the favourite is that one asked too.
+  const auto n = aCall.askingRounds == 0 ? aCall.preset->limits.loadQueries : 1;
+  const bool mayAsk =
+    aCall.preset->limits.loadQueries > 0 && aCall.askingRounds++ < kMostRounds;
+  const auto* const path = mayAsk ? healthPathOf(*aCall.preset, aCall.service) : nullptr;
   if (path == nullptr) {
     send(aCall);
     return;
@@ -97,7 +102,7 @@
   if (call != nullptr && call->stage == CallStage::Asking) {
     call->askingTimer.cancel();
     call->stage = CallStage::Waiting;
-    send(*call);
+    askLoads(*call);
   }
 }
 
--- a/libs/entry/src/EntryWorkerSending.cpp
+++ b/libs/entry/src/EntryWorkerSending.cpp
@@ -59,6 +59,7 @@
   aCall.upstream = chosen.value();
   aCall.stage = CallStage::Sending;
   aCall.sentAt = now;
+  aCall.askingRounds = 0;
   ++aCall.attempts;
   aCall.exchange = mBack.start(makeExchange(aCall));
 }
--- a/libs/gateway/include/gateway/FollowTimes.h
+++ b/libs/gateway/include/gateway/FollowTimes.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <core/Time.h>
+#include <peer/PeerTimes.h>
 
 namespace masticwall {
 
@@ -9,7 +10,9 @@
 
 /** How often the source is read: an upstream's leaving must be known within 2 s. */
 inline constexpr Duration kReadPeriod = std::chrono::milliseconds(600);
-inline constexpr Duration kLongestReadDelay = std::chrono::seconds(3);
+
+/** After a reading that failed; short, because lapsed entries are back within 2 s. */
+inline constexpr Duration kReadRetry = std::chrono::milliseconds(600);
 
 /** A feed without news is answered after so long, with the age of what is known. */
 inline constexpr Duration kLongestFeedWait = std::chrono::milliseconds(500);
@@ -23,6 +26,13 @@
 /** How often a better source than the present one is tried. */
 inline constexpr Duration kProbePeriod = std::chrono::seconds(3);
 
+/** The same while neither a source nor a reading has news. */
+inline constexpr Duration kUrgentProbePeriod = std::chrono::seconds(1);
+
+/** Connections between VMs: 12 ms one way between regions. */
+inline constexpr PeerTimes kFollowPeerTimes{ .connectTimeout =
+                                               std::chrono::milliseconds(300) };
+
 /** VMs that start together read the source at different times within this span. */
 inline constexpr Duration kStartSpread = std::chrono::milliseconds(200);
 inline constexpr Duration kAnnounceRetry = std::chrono::seconds(3);
--- a/libs/gateway/include/gateway/Follower.h
+++ b/libs/gateway/include/gateway/Follower.h
@@ -36,7 +36,7 @@
     , mSource(aSource)
     , mOwn(std::move(aOwn))
     , mOnChange(std::move(aOnChange))
-    , mClients(aTimers)
+    , mClients(aTimers, kFollowPeerTimes)
     , mKnown(aTimers, aTables.membership)
     , mServer(aTimers, mKnown, kLongestFeedWait)
   {
@@ -69,6 +69,10 @@
   void updateSources();
   void ask(const Vm& aVm, const FeedRequest& aHave, PeerClient::Callback aDone);
   Duration spread(Duration aTime);
+  Duration probeDelay()
+  {
+    return spread(age() < kStaleAfter ? kProbePeriod : kUrgentProbePeriod);
+  }
 
   TimerService& mTimers;
   EntryTables& mTables;
@@ -139,7 +143,7 @@
         onReply(aPlace, turn, aReply);
       });
   if (aPlace > 0 && !mProbeTimer.isActive()) {
-    mProbeTimer = mTimers.subscribeIn(spread(kProbePeriod), [this] { probe(0, mTurn); });
+    mProbeTimer = mTimers.subscribeIn(probeDelay(), [this] { probe(0, mTurn); });
   }
 }
 
@@ -194,8 +198,7 @@
   mProbeTimer.cancel();
   if (aTurn != mTurn || aPlace >= mSources.size()) {
     if (!mSources.empty()) {
-      mProbeTimer =
-        mTimers.subscribeIn(spread(kProbePeriod), [this] { probe(0, mTurn); });
+      mProbeTimer = mTimers.subscribeIn(probeDelay(), [this] { probe(0, mTurn); });
     }
     return;
   }
@@ -227,7 +230,7 @@
     read();
   }
   if (!mSources.empty() && !mProbeTimer.isActive()) {
-    mProbeTimer = mTimers.subscribeIn(spread(kProbePeriod), [this] { probe(0, mTurn); });
+    mProbeTimer = mTimers.subscribeIn(probeDelay(), [this] { probe(0, mTurn); });
   }
 }
 
@@ -263,10 +266,8 @@
     putVms(vms);
   }
   if (mIsReading) {
-    const auto delay =
-      std::min<Duration>(kReadPeriod * (1 + mFailures), kLongestReadDelay);
-    mReadTimer =
-      mTimers.subscribeIn(mFailures > 0 ? spread(delay) : delay, [this] { read(); });
+    const auto delay = mFailures > 0 ? spread(kReadRetry) : kReadPeriod;
+    mReadTimer = mTimers.subscribeIn(delay, [this] { read(); });
   }
 }
 
--- a/libs/gateway/include/gateway/GatewaySettings.h
+++ b/libs/gateway/include/gateway/GatewaySettings.h
@@ -16,9 +16,9 @@
   std::uint16_t sourcePort = 0;
   VmList seeds;                                ///< VMs that may run already
   std::map<std::string, std::string> regionOf; ///< by data centre
-  double retryShare = 0.2;  ///< retries over calls of a service, of all VMs together
+  double retryShare = 0.2;       ///< retries over calls of a service, of all VMs together
   double probesPerSecond = 60.0; ///< for each upstream, from all VMs together
-  double retryBurst = 60.0; ///< retries beyond that share, of all VMs together
+  double retryBurst = 60.0;      ///< retries beyond that share, of all VMs together
 };
 
 } // namespace masticwall
--- a/libs/peer/include/peer/PeerClients.h
+++ b/libs/peer/include/peer/PeerClients.h
@@ -12,8 +12,9 @@
 class PeerClients
 {
 public:
-  explicit PeerClients(TimerService& aTimers)
+  explicit PeerClients(TimerService& aTimers, const PeerTimes& aTimes = {})
     : mTimers(aTimers)
+    , mTimes(aTimes)
   {
   }
 
@@ -32,6 +33,7 @@
   };
 
   TimerService& mTimers;
+  PeerTimes mTimes;
   std::map<std::string, Entry> mClients;
 };
 
--- a/libs/peer/src/PeerClients.cpp
+++ b/libs/peer/src/PeerClients.cpp
@@ -8,7 +8,9 @@
   auto& entry = mClients[aVm];
   if (entry.client == nullptr || entry.host != aHost || entry.port != aPort) {
     const QHostAddress address(QString::fromStdString(aHost));
-    entry = { aHost, aPort, std::make_unique<PeerClient>(mTimers, address, aPort) };
+    entry = { aHost,
+              aPort,
+              std::make_unique<PeerClient>(mTimers, address, aPort, mTimes) };
   }
   return *entry.client;
 }
