--- a/libs/http/tests/BackPoolTest.cpp
+++ b/libs/http/tests/BackPoolTest.cpp
@@ -51,7 +51,7 @@
   exchange.host = QHostAddress(QHostAddress::LocalHost);
   exchange.port = aServer.port();
   exchange.request.method = "GET";
-  exchange.request.target = "/";
+  exchange.request.target = std::string("/");
   exchange.timeout = 10s;
   exchange.connectTimeout = 10s;
   return exchange;
