Test gateways as real processes against a stand-in of the store

Change: standin-store (keyed topics, outages), upstreams in the platform's form, GatewaySystem, and GatewayTest: a request and its answer, configurations in force and never undone, draining, readers killed and paused in turn, the store refusing and silent while a gateway starts, spoilt entries, an order whose upstream dies, the route's timeout, a stop under load.

--- /dev/null
+++ b/tests/harness/GatewaySystem.cpp
@@ -0,0 +1,242 @@
+#include "GatewaySystem.h"
+#include "LoopbackNet.h"
+#include "Ports.h"
+#include "Wait.h"
+#include <QFile>
+#include <QtEndian>
+
+namespace masticwall::test {
+
+namespace {
+
+constexpr quint16 kStorePort = 8384;
+constexpr quint16 kUpstreamPort = 9000;
+constexpr quint16 kReadyPort = 8388;
+constexpr quint16 kPeerPort = 8382;
+constexpr int kStoreHost = 2;
+constexpr int kFirstGateway = 10;
+constexpr int kFirstUpstream = 100;
+
+std::string
+frame(const std::string& aKey, const std::string& aValue)
+{
+  std::string record;
+  record += static_cast<char>(aKey.size());
+  record += aKey + aValue;
+  std::string bytes(sizeof(quint32), '\0');
+  qToBigEndian(static_cast<quint32>(record.size()), bytes.data());
+  return bytes + record;
+}
+
+} // namespace
+
+GatewaySystem::GatewaySystem(int aGateways, int aUpstreams)
+  : mNet(nextNet())
+  , mGateways(at(aGateways))
+  , mUpstreams(at(aUpstreams))
+{
+}
+
+bool
+GatewaySystem::start()
+{
+  mStore = std::make_unique<ChildProcess>(QStringLiteral("standin-store"),
+                                          QStringList{ QStringLiteral("--host"),
+                                                       host(kStoreHost).toString(),
+                                                       QStringLiteral("--port"),
+                                                       QString::number(kStorePort) });
+  bool isListening = waitForPort(host(kStoreHost), kStorePort);
+  for (int i = 0; i < static_cast<int>(mUpstreams.size()); ++i) {
+    mUpstreams[at(i)] = std::make_unique<ChildProcess>(QStringLiteral("standin-upstream"),
+                                                       upstreamArguments(i));
+    isListening = isListening && waitForPort(host(kFirstUpstream + i), kUpstreamPort);
+    listUpstream(i, "ready");
+  }
+  writeConfig(1);
+  for (int i = 0; i < static_cast<int>(mGateways.size()); ++i) {
+    startGateway(i);
+  }
+  return isListening && waitUntil([this] {
+           for (int i = 0; i < static_cast<int>(mGateways.size()); ++i) {
+             const auto answer = call(i, "GET", "/read/warm", "warm");
+             if (!isReady(i) || !answer.has_value() || answer->status != 200) {
+               return false;
+             }
+           }
+           return true;
+         });
+}
+
+void
+GatewaySystem::startGateway(int aIndex)
+{
+  writeSettings(aIndex);
+  mGateways[at(aIndex)] = std::make_unique<ChildProcess>(
+    QStringLiteral("masticwall-gateway"),
+    QStringList{ QStringLiteral("--settings"), settingsPath(aIndex) });
+}
+
+bool
+GatewaySystem::isReady(int aIndex)
+{
+  const auto answer = callOnce(
+    host(kFirstGateway + aIndex), kReadyPort, makeRequest("GET", "/ready"), 1000);
+  return answer.has_value() && answer->status == 200;
+}
+
+void
+GatewaySystem::writeConfig(int aVersion)
+{
+  const auto version = std::to_string(aVersion);
+  const auto row = [](const std::string& aPath, const std::string& aKind) {
+    return R"(["r)" + aPath + R"(","a.example",")" + aPath + R"(",")" + aKind +
+           R"(","2s","200ms",1,"lookup",2])";
+  };
+  writeRecord(
+    "keyed.op",
+    "config",
+    R"({"version":)" + version +
+      R"(,"routes":{"columns":["name","host","path-prefix","kind","timeout",)" +
+      R"("target-latency","priority","service","attempts"],"rows":[)" +
+      row("/read/", "safe") + ',' + row("/order/", "unsafe") + ',' +
+      row("/v" + version + '/', "safe") +
+      R"(]},"services":{"columns":["name","health-path","max-connections"],)" +
+      R"("rows":[["lookup","/health",240]]},"limits":{"max-header-bytes":16384,)" +
+      R"("max-body-bytes":1048576,"header-timeout":"3s","idle-timeout":"15s"}})");
+}
+
+void
+GatewaySystem::listUpstream(int aIndex, const std::string& aState)
+{
+  const auto address = host(kFirstUpstream + aIndex).toString().toStdString() + ':' +
+                       std::to_string(kUpstreamPort);
+  const auto value =
+    R"({"address":")" + address +
+    R"(","born":1700000000000,"info":{"service":"lookup","version":"v1",)" +
+    R"("zone":"recife","concurrency-limit":4},"status":{"state":")" + aState +
+    R"(","sequence":1,"warmup-left":"0ms"}})";
+  writeRecord("keyed.servers", upstreamName(aIndex), aState.empty() ? "" : value);
+}
+
+void
+GatewaySystem::writeRecord(const std::string& aTopic,
+                           const std::string& aKey,
+                           const std::string& aValue)
+{
+  post(host(kStoreHost),
+       kStorePort,
+       "/log-append?topic=" + aTopic + "&part=0",
+       frame(aKey, aValue));
+}
+
+qint64
+GatewaySystem::setStore(const std::string& aQuery)
+{
+  const auto answer = post(host(kStoreHost), kStorePort, "/standin?" + aQuery, {});
+  return QByteArray::fromStdString(answer.body).toLongLong();
+}
+
+void
+GatewaySystem::setUpstream(int aIndex, const std::string& aQuery)
+{
+  post(host(kFirstUpstream + aIndex), kUpstreamPort, "/standin?" + aQuery, {});
+}
+
+std::optional<http::Response>
+GatewaySystem::call(int aGateway,
+                    const std::string& aMethod,
+                    const std::string& aPath,
+                    const std::string& aId,
+                    const http::HeaderList& aMore)
+{
+  http::HeaderList headers{ { "Host", "a.example" },
+                            { "Masticwall-Request-Id", aId },
+                            { "Masticwall-Request-Deadline", "2000" } };
+  headers.insert(headers.end(), aMore.begin(), aMore.end());
+  return callOnce(host(kFirstGateway + aGateway),
+                  kFrontPort,
+                  makeRequest(aMethod, aPath, headers),
+                  5000);
+}
+
+int
+GatewaySystem::runsOf(const std::string& aId) const
+{
+  int n = 0;
+  for (int i = 0; i < static_cast<int>(mUpstreams.size()); ++i) {
+    const auto name = QStringLiteral("ledger-%1").arg(i);
+    n += LedgerFile::read(mDirectory.filePath(name)).runsOf(aId);
+  }
+  return n;
+}
+
+QHostAddress
+GatewaySystem::host(int aLast) const
+{
+  return loopbackAddress(mNet, aLast);
+}
+
+std::string
+GatewaySystem::upstreamName(int aIndex) const
+{
+  return "i-" + std::to_string(aIndex);
+}
+
+QString
+GatewaySystem::settingsPath(int aIndex) const
+{
+  return mDirectory.filePath(QStringLiteral("boot-%1.toml").arg(aIndex));
+}
+
+void
+GatewaySystem::writeSettings(int aIndex) const
+{
+  const auto ip = host(kFirstGateway + aIndex).toString();
+  const auto store = host(kStoreHost).toString();
+  const auto seed = host(kFirstGateway).toString();
+  QFile file(settingsPath(aIndex));
+  if (!file.open(QIODevice::WriteOnly)) {
+    return;
+  }
+  file.write(QStringLiteral("[self]\nnode = \"front-%1\"\nip = \"%2\"\n"
+                            "zone = \"recife\"\nregion = \"litoral\"\n"
+                            "[network]\nseeds = [\"%4:%6\"]\n[network.listen]\n"
+                            "front = \"%2:%5\"\nready = \"%2:%7\"\ncontrol = \"%2:%6\"\n"
+                            "[network.zones]\nrecife = \"litoral\"\n"
+                            "[platform.platform]\naddress = \"%3:%8\"\n"
+                            "[terms.bounds]\ngrace = \"6s\"\n")
+               .arg(aIndex)
+               .arg(ip, store, seed)
+               .arg(kFrontPort)
+               .arg(kPeerPort)
+               .arg(kReadyPort)
+               .arg(kStorePort)
+               .toUtf8());
+}
+
+QStringList
+GatewaySystem::upstreamArguments(int aIndex) const
+{
+  return { QStringLiteral("--host"),
+           host(kFirstUpstream + aIndex).toString(),
+           QStringLiteral("--port"),
+           QString::number(kUpstreamPort),
+           QStringLiteral("--name"),
+           QString::fromStdString(upstreamName(aIndex)),
+           QStringLiteral("--form"),
+           QStringLiteral("platform"),
+           QStringLiteral("--ledger"),
+           mDirectory.filePath(QStringLiteral("ledger-%1").arg(aIndex)) };
+}
+
+http::Response
+GatewaySystem::post(const QHostAddress& aHost,
+                    quint16 aPort,
+                    const std::string& aTarget,
+                    const std::string& aBody)
+{
+  return callOnce(aHost, aPort, makeRequest("POST", aTarget, {}, aBody), 5000)
+    .value_or(http::Response{});
+}
+
+} // namespace masticwall::test
--- /dev/null
+++ b/tests/harness/GatewaySystem.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "ChildProcess.h"
+#include "LedgerFile.h"
+#include "TestCaller.h"
+#include <QTemporaryDir>
+#include <memory>
+#include <vector>
+
+namespace masticwall::test {
+
+/**
+ * A whole system in the platform's form, of real processes on loopback addresses of its
+ * own: the store, upstreams of one service that are listed there, and gateways.
+ */
+class GatewaySystem
+{
+public:
+  static constexpr quint16 kFrontPort = 8381;
+
+  GatewaySystem(int aGateways, int aUpstreams);
+
+  /** Starts all, writes a configuration, and waits until every gateway is ready. */
+  bool start();
+
+  void startGateway(int aIndex);
+  ChildProcess& gateway(int aIndex) { return *mGateways[at(aIndex)]; }
+  ChildProcess& upstream(int aIndex) { return *mUpstreams[at(aIndex)]; }
+  bool isReady(int aIndex);
+
+  /** Writes a configuration: "/read/" is safe, "/order/" is not, and "/vN/" its version.
+   */
+  void writeConfig(int aVersion);
+
+  /** Lists an upstream in the store as "ready" or "draining", or, empty, not at all. */
+  void listUpstream(int aIndex, const std::string& aState);
+  void writeRecord(const std::string& aTopic,
+                   const std::string& aKey,
+                   const std::string& aValue);
+
+  /** Changes the store's behaviour; returns the calls that it has had. */
+  qint64 setStore(const std::string& aQuery = {});
+  void setUpstream(int aIndex, const std::string& aQuery);
+
+  /** Sends one request on a connection of its own. */
+  std::optional<http::Response> call(int aGateway,
+                                     const std::string& aMethod,
+                                     const std::string& aPath,
+                                     const std::string& aId,
+                                     const http::HeaderList& aMore = {});
+
+  /** The upstreams that ran the request `aId`, over all of them. */
+  int runsOf(const std::string& aId) const;
+  QHostAddress host(int aLast) const;
+  std::string upstreamName(int aIndex) const;
+
+private:
+  static std::size_t at(int aIndex) { return static_cast<std::size_t>(aIndex); }
+  QString settingsPath(int aIndex) const;
+  void writeSettings(int aIndex) const;
+  QStringList upstreamArguments(int aIndex) const;
+  http::Response post(const QHostAddress& aHost,
+                      quint16 aPort,
+                      const std::string& aTarget,
+                      const std::string& aBody);
+
+  int mNet;
+  QTemporaryDir mDirectory;
+  std::unique_ptr<ChildProcess> mStore;
+  std::vector<std::unique_ptr<ChildProcess>> mGateways;
+  std::vector<std::unique_ptr<ChildProcess>> mUpstreams;
+};
+
+} // namespace masticwall::test
--- a/tests/harness/TestSystem.cpp
+++ b/tests/harness/TestSystem.cpp
@@ -1,4 +1,5 @@
 #include "TestSystem.h"
+#include "LoopbackNet.h"
 #include "Ports.h"
 #include "TestPlaces.h"
 #include "Wait.h"
@@ -12,14 +13,6 @@
 
 namespace {
 
-/** A number for the loopback network of each system, so that none meets another. */
-int
-nextNet()
-{
-  static int sCount = 0;
-  return static_cast<int>(getpid()) % 5000 * 10 + sCount++ % 10;
-}
-
 QString
 textOf(const std::string& aText)
 {
@@ -240,10 +233,7 @@
 QHostAddress
 TestSystem::address(int aLast) const
 {
-  // 127.16.0.0 and up: away from what other programs use.
-  const auto net = static_cast<quint32>(mNet);
-  return QHostAddress((127U << 24U) + (16U << 16U) + (net << 8U) +
-                      static_cast<quint32>(aLast));
+  return loopbackAddress(mNet, aLast);
 }
 
 std::string
--- /dev/null
+++ b/tests/integration/GatewayTest.cpp
@@ -0,0 +1,179 @@
+#include "GatewaySystem.h"
+#include "Wait.h"
+#include <catch2/catch.hpp>
+#include <csignal>
+
+using namespace masticwall;
+using namespace masticwall::test;
+
+namespace {
+
+int
+statusOf(const std::optional<http::Response>& aResponse)
+{
+  return aResponse.has_value() ? aResponse->status : 0;
+}
+
+/** Sends lookups to a gateway until its answer's status is `aStatus`. */
+bool
+reachesStatus(GatewaySystem& aSystem, int aGateway, const std::string& aPath, int aStatus)
+{
+  return waitUntil(
+    [&] { return statusOf(aSystem.call(aGateway, "GET", aPath, "probe")) == aStatus; });
+}
+
+} // namespace
+
+TEST_CASE("a gateway passes a request on and gives the whole answer back")
+{
+  GatewaySystem system(1, 2);
+  REQUIRE(system.start());
+  const auto answer = system.call(0, "GET", "/read/7?q=1", "id-1");
+  REQUIRE(statusOf(answer) == 200);
+  CHECK(answer->body == "GET /read/7?q=1\n");
+  CHECK(http::findHeader(answer->headers, "Masticwall-Request-Id") == "id-1");
+  CHECK_FALSE(http::findHeader(answer->headers, "Masticwall-Server-Signature").empty());
+  CHECK(statusOf(system.call(0, "GET", "/nothing/", "id-2")) == 404);
+  CHECK(statusOf(system.call(0, "POST", "/order/1", "id-3")) == 200);
+  CHECK(system.runsOf("id-3") == 1);
+}
+
+TEST_CASE("a new configuration is in force at every gateway and is not undone")
+{
+  GatewaySystem system(4, 2);
+  REQUIRE(system.start());
+  system.writeConfig(5);
+  for (int i = 0; i < 4; ++i) {
+    CHECK(reachesStatus(system, i, "/v5/", 200));
+  }
+  system.writeConfig(3);
+  const auto calls = system.setStore();
+  REQUIRE(waitUntil([&] { return system.setStore() >= calls + 6; }));
+  for (int i = 0; i < 4; ++i) {
+    CHECK(statusOf(system.call(i, "GET", "/v5/", "still")) == 200);
+    CHECK(statusOf(system.call(i, "GET", "/v3/", "older")) == 404);
+  }
+}
+
+TEST_CASE("an upstream that is listed as draining gets no new requests")
+{
+  GatewaySystem system(3, 2);
+  REQUIRE(system.start());
+  system.listUpstream(0, "draining");
+  const auto goesToOther = [&](int aGateway) {
+    const auto answer = system.call(aGateway, "GET", "/read/1", "drain");
+    return answer.has_value() &&
+           http::findHeader(answer->headers, "Echo-Upstream") == system.upstreamName(1);
+  };
+  REQUIRE(waitUntil([&] {
+    bool all = true;
+    for (int i = 0; i < 12; ++i) {
+      all = goesToOther(i % 3) && all;
+    }
+    return all;
+  }));
+  for (int i = 0; i < 30; ++i) {
+    CHECK(goesToOther(i % 3));
+  }
+}
+
+TEST_CASE("one gateway reads the store, and another does when it is killed or paused")
+{
+  GatewaySystem system(4, 2);
+  REQUIRE(system.start());
+  int version = 10;
+  for (const int signal : { SIGKILL, SIGSTOP }) {
+    for (int victim = 0; victim < 4; ++victim) {
+      system.gateway(victim).signal(signal);
+      system.writeConfig(++version);
+      const auto path = "/v" + std::to_string(version) + '/';
+      for (int i = 0; i < 4; ++i) {
+        if (i != victim) {
+          CHECK(reachesStatus(system, i, path, 200));
+        }
+      }
+      system.gateway(victim).kill();
+      system.startGateway(victim);
+      CHECK(reachesStatus(system, victim, path, 200));
+    }
+  }
+}
+
+TEST_CASE("while the store is away, what is known holds, also for a gateway that starts")
+{
+  GatewaySystem system(3, 2);
+  REQUIRE(system.start());
+  for (const auto* const outage : { "refuse=1", "refuse=0&hang=1" }) {
+    system.setStore(outage);
+    system.listUpstream(1, "");
+    system.gateway(2).kill();
+    system.startGateway(2);
+    CHECK(reachesStatus(system, 2, "/read/1", 200));
+    for (int i = 0; i < 3; ++i) {
+      CHECK(statusOf(system.call(i, "GET", "/read/1", "outage")) == 200);
+    }
+  }
+  system.setStore("refuse=0&hang=0");
+  system.writeConfig(9);
+  for (int i = 0; i < 3; ++i) {
+    CHECK(reachesStatus(system, i, "/v9/", 200));
+  }
+}
+
+TEST_CASE("entries that another writer spoilt are left out, the others hold")
+{
+  GatewaySystem system(1, 2);
+  REQUIRE(system.start());
+  system.writeRecord("keyed.servers", "i-9", R"({"address":7})");
+  system.writeRecord("keyed.servers", "i-8", "\xff\xfe");
+  system.writeRecord("keyed.op", "config", R"({"version":"x"})");
+  system.listUpstream(0, "draining");
+  REQUIRE(waitUntil([&] {
+    const auto answer = system.call(0, "GET", "/read/1", "spoilt");
+    return answer.has_value() &&
+           http::findHeader(answer->headers, "Echo-Upstream") == system.upstreamName(1);
+  }));
+  CHECK(statusOf(system.call(0, "GET", "/v1/", "config")) == 200);
+}
+
+TEST_CASE("an order whose upstream dies is not sent again, a lookup is")
+{
+  GatewaySystem system(1, 2);
+  REQUIRE(system.start());
+  const http::HeaderList crash{ { "Test-Behaviour", "crash" } };
+  CHECK(statusOf(system.call(0, "POST", "/order/1", "crash-1", crash)) == 502);
+  CHECK(system.runsOf("crash-1") == 1);
+  CHECK(reachesStatus(system, 0, "/read/1", 200));
+}
+
+TEST_CASE("a request gets its final answer at its route's timeout")
+{
+  GatewaySystem system(1, 1);
+  REQUIRE(system.start());
+  const http::HeaderList slow{ { "Test-Service-Ms", "60000" },
+                               { "Masticwall-Request-Deadline", "60000" } };
+  CHECK(statusOf(system.call(0, "POST", "/order/1", "slow-1", slow)) == 504);
+  CHECK(system.runsOf("slow-1") == 1);
+}
+
+TEST_CASE("a gateway that is stopped finishes its requests and then ends")
+{
+  GatewaySystem system(2, 2);
+  REQUIRE(system.start());
+  TestCaller caller(system.host(10), GatewaySystem::kFrontPort);
+  caller.send(makeRequest("GET",
+                          "/read/1",
+                          { { "Host", "a.example" },
+                            { "Masticwall-Request-Id", "kept" },
+                            { "Masticwall-Request-Deadline", "2000" },
+                            { "Test-Service-Ms", "800" } }));
+  REQUIRE(waitUntil([&] { return system.runsOf("kept") == 1; }));
+  system.gateway(0).signal(SIGHUP);
+  system.gateway(0).signal(SIGTERM);
+  const auto answer = caller.receive();
+  REQUIRE(answer.has_value());
+  CHECK(answer->status == 200);
+  CHECK_FALSE(answer->keepAlive);
+  CHECK(system.gateway(0).waitForEnd() == 0);
+  CHECK(statusOf(system.call(1, "GET", "/read/1", "other")) == 200);
+}
--- /dev/null
+++ b/tests/standins/StoreService.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <http/FrontListener.h>
+#include <map>
+
+namespace masticwall::standin {
+
+/**
+ * The platform's store, as far as masticwall uses it: keyed topics, of which the newest
+ * record of each key is kept. POST /standin?name=value makes it hang or refuse, and
+ * answers with the number of calls so far.
+ */
+class StoreService
+{
+public:
+  void handle(const http::Request& aRequest, const http::ResponderPtr& aResponder);
+
+private:
+  struct Record
+  {
+    QByteArray value;
+    std::uint64_t offset = 0;
+  };
+  struct Topic
+  {
+    std::map<std::string, Record> newest; ///< by key
+    std::uint64_t end = 0;
+  };
+
+  void change(const http::Request& aRequest);
+  http::Response append(const std::string& aTopic, const std::string& aBody);
+  http::Response newest(const std::string& aTopic);
+
+  std::map<std::string, Topic> mTopics;
+  std::uint64_t mCalls = 0;
+  bool mIsHanging = false;
+  bool mIsRefusing = false;
+};
+
+} // namespace masticwall::standin
--- a/tests/standins/Upstream.cpp
+++ b/tests/standins/Upstream.cpp
@@ -34,6 +34,7 @@
       aOptions.text(QStringLiteral("service-ms"), QStringLiteral("2")).toDouble())
   , mColdMs(aOptions.number(QStringLiteral("cold-ms"), 0))
   , mStartedAt(aTimers.now())
+  , mIsPlatform(aOptions.text(QStringLiteral("form")) == QLatin1String("platform"))
 {
 }
 
@@ -46,6 +47,10 @@
     aDone(okResponse("changed\n"));
     return;
   }
+  if (isMeantForAnother(aRequest)) {
+    aDone({ 421, { { "Masticwall-Instance-Id", mName } }, {}, true });
+    return;
+  }
   if (path == QLatin1String("/health")) {
     mLedger.write("probe");
     auto response = okResponse("ok\n");
@@ -105,8 +110,9 @@
     return;
   }
   ++mInUse;
-  mLedger.write("run " + headerOf(aWaiting.request, "Idempotency-Key") + ' ' +
-                aWaiting.request.method + ' ' + aWaiting.request.target);
+  const auto* const key = mIsPlatform ? "Masticwall-Request-Id" : "Idempotency-Key";
+  mLedger.write("run " + headerOf(aWaiting.request, key) + ' ' + aWaiting.request.method +
+                ' ' + aWaiting.request.target);
   if (headerOf(aWaiting.request, "Test-Behaviour") == "crash") {
     std::_Exit(kCrashExit);
   }
@@ -150,6 +156,11 @@
   http::Response response;
   response.headers.push_back({ "Echo-Id", headerOf(aRequest, "Request-Id") });
   response.headers.push_back({ "Echo-Upstream", mName });
+  if (mIsPlatform) {
+    const auto id = headerOf(aRequest, "Masticwall-Request-Id");
+    response.headers.push_back({ "Masticwall-Request-Id", id });
+    response.headers.push_back({ "Masticwall-Server-Signature", mName + '.' + id });
+  }
   response.body = aRequest.method + ' ' + aRequest.target + '\n' + aRequest.body;
   return response;
 }
@@ -162,6 +173,10 @@
   while (mReports.size() > 1 && mReports[1].at + mReportLag <= now) {
     mReports.pop_front();
   }
+  if (mIsPlatform) {
+    addPlatformSigns(aResponse);
+    return;
+  }
   const auto& report = mReports.front();
   aResponse.headers.push_back({ "Upstream-In-Use", std::to_string(report.inUse) });
   aResponse.headers.push_back({ "Upstream-Queued", std::to_string(report.queued) });
@@ -171,11 +186,31 @@
   }
 }
 
+void
+Upstream::addPlatformSigns(http::Response& aResponse)
+{
+  const auto& report = mReports.front();
+  const auto percent = static_cast<int>(100.0 * mSlowFactor);
+  aResponse.headers.push_back({ "Masticwall-Instance-Id", mName });
+  aResponse.headers.push_back(
+    { "Masticwall-Server-Load",
+      std::to_string(report.inUse) + ',' + std::to_string(report.queued) + ',' +
+        std::to_string(mSlots) + ',' + std::to_string(percent) });
+}
+
+bool
+Upstream::isMeantForAnother(const http::Request& aRequest) const
+{
+  const auto expected = headerOf(aRequest, "Masticwall-Expected-Instance");
+  return mIsPlatform && !expected.empty() && expected != mName;
+}
+
 http::Response
 Upstream::shed()
 {
   http::Response response{ 503, {}, "shed\n", true };
-  response.headers.push_back({ "Upstream-Not-Run", "1" });
+  const auto* const sign = mIsPlatform ? "Masticwall-Not-Executed" : "Upstream-Not-Run";
+  response.headers.push_back({ sign, "1" });
   addSigns(response);
   return response;
 }
--- a/tests/standins/Upstream.h
+++ b/tests/standins/Upstream.h
@@ -14,7 +14,8 @@
 /**
  * An upstream: slots, a queue, service times with a heavy tail, shedding, draining, cold
  * start, and a ledger of what ran. Its behaviour is set by flags and changed by
- * POST /standin?name=value; single requests ask for faults by Test-Behaviour.
+ * POST /standin?name=value; single requests ask for faults by Test-Behaviour. It speaks
+ * the product's own headers, or the platform's ("--form platform").
  */
 class Upstream
 {
@@ -46,6 +47,8 @@
   Duration serviceTime(const http::Request& aRequest);
   http::Response answerTo(const http::Request& aRequest);
   void addSigns(http::Response& aResponse);
+  void addPlatformSigns(http::Response& aResponse);
+  bool isMeantForAnother(const http::Request& aRequest) const;
   http::Response shed();
 
   TimerService& mTimers;
@@ -61,6 +64,7 @@
   Instant mStartedAt;
   bool mIsLeaving = false;
   bool mIsFailing = false;    ///< answers 500 at once
+  bool mIsPlatform = false;   ///< speaks the platform's headers
   bool mHidesLeaving = false; ///< neither its health nor its answers say that it leaves
   Duration mReportLag{ 0 };   ///< how old the load is that answers tell of
   std::deque<Report> mReports;
