Log the story of each call that ends badly or late, never waiting for the reader

Change: one line for the call's end (route, rank, service, version, stage, times) and one for each attempt with the figures and their age that the choice was made on; calls in time are sampled, one in 256. A choice says whether there was no upstream or none in time.

--- a/libs/decide/include/decide/UpstreamPool.h
+++ b/libs/decide/include/decide/UpstreamPool.h
@@ -79,6 +79,14 @@
     return best;
   }
 
+  /** True if some upstream may take a call, though perhaps not in time. */
+  bool hasCandidate(int aMaxInFlight,
+                    const std::vector<std::string>& aExcluded,
+                    Instant aNow)
+  {
+    return !eligible({}, aMaxInFlight, aExcluded, aNow).empty();
+  }
+
   /**
    * Of the `aCount` upstreams that chooseNearest() would favour, those whose load report
    * is older than `aFreshFor`.
--- a/libs/entry/src/Call.h
+++ b/libs/entry/src/Call.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "CallAttempt.h"
 #include "CallStage.h"
 #include <core/ClaimId.h>
 #include <core/Digest.h>
@@ -47,7 +48,8 @@
   Instant sentAt;
   std::vector<std::string> excluded; ///< upstreams that have failed this call
   int attempts = 0;
-  bool isSent = false;                      ///< the last attempt may have run
+  std::vector<CallAttempt> history; ///< attempts that have ended, and the present one
+  bool isSent = false;              ///< the last attempt may have run
   std::optional<http::Response> lastAnswer; ///< an error answer, if no better one comes
   bool wasShed = false;
   bool mayHaveRun = false; ///< an attempt may have run that no answer has told of
--- /dev/null
+++ b/libs/entry/src/CallStory.cpp
@@ -0,0 +1,63 @@
+#include "CallStory.h"
+#include <telemetry/EventLog.h>
+
+namespace masticwall {
+
+namespace {
+
+/** One call in so many that ended well is logged. */
+constexpr std::uint64_t kSampling = 256;
+
+bool
+isWorthTelling(const Call& aCall, Outcome aOutcome, Instant aNow)
+{
+  const auto target = aCall.route->target;
+  const bool isLate = target > Duration{ 0 } && aNow - aCall.arrivedAt > target;
+  return aOutcome != Outcome::Answered || isLate || aCall.id % kSampling == 0;
+}
+
+void
+logAttempt(const Call& aCall, const CallAttempt& aAttempt, std::size_t aNumber)
+{
+  const bool hasReport = aAttempt.load.at != Instant{};
+  logEvent(LogEvent::CallAttempt,
+           { { "id", aCall.terms.id },
+             { "attempt", aNumber },
+             { "upstream", aAttempt.upstream },
+             { "end", nameOf(aAttempt.end) },
+             { "sent_ms", toMilliseconds(aAttempt.sentAt - aCall.arrivedAt) },
+             { "took_ms", toMilliseconds(aAttempt.endedAt - aAttempt.sentAt) },
+             { "running", aAttempt.load.inUse },
+             { "waiting", aAttempt.load.queued },
+             { "work_percent", aAttempt.load.workPercent },
+             { "report_age_ms",
+               hasReport ? toMilliseconds(aAttempt.sentAt - aAttempt.load.at) : -1 },
+             { "in_flight", aAttempt.inFlight } });
+}
+
+} // namespace
+
+void
+logStory(const Call& aCall, Outcome aOutcome, std::string_view aReason, Instant aNow)
+{
+  if (!isWorthTelling(aCall, aOutcome, aNow)) {
+    return;
+  }
+  logEvent(LogEvent::CallEnded,
+           { { "id", aCall.terms.id },
+             { "outcome", nameOf(aOutcome) },
+             { "reason", aReason.empty() ? std::string_view("-") : aReason },
+             { "route", aCall.route->name },
+             { "service", aCall.service },
+             { "rank", nameOf(aCall.route->rank) },
+             { "version", aCall.preset->version },
+             { "stage", nameOf(aCall.stage) },
+             { "took_ms", toMilliseconds(aNow - aCall.arrivedAt) },
+             { "allowed_ms", toMilliseconds(aCall.deadline - aCall.arrivedAt) },
+             { "attempts", aCall.history.size() } });
+  for (std::size_t i = 0; i < aCall.history.size(); ++i) {
+    logAttempt(aCall, aCall.history[i], i + 1);
+  }
+}
+
+} // namespace masticwall
--- a/libs/entry/src/EntryWorkerEnding.cpp
+++ b/libs/entry/src/EntryWorkerEnding.cpp
@@ -1,4 +1,5 @@
 #include "CallNumber.h"
+#include "CallStory.h"
 #include "EntryWorker.h"
 #include <telemetry/EventLog.h>
 
@@ -183,6 +184,7 @@
   if (aCall.responder == nullptr) {
     return;
   }
+  logStory(aCall, aOutcome, aReason, mTimers.now());
   mTables.statistics.add(
     aCall.route->rank, aOutcome, std::string(aReason), mTimers.now() - aCall.arrivedAt);
   const auto responder = std::move(aCall.responder);
--- a/libs/entry/src/EntryWorkerSending.cpp
+++ b/libs/entry/src/EntryWorkerSending.cpp
@@ -52,11 +52,14 @@
       endWithAnswer(aCall, *std::exchange(aCall.lastAnswer, std::nullopt));
       return;
     }
-    const auto error = aCall.wasShed ? CallError::UpstreamShed : CallError::NoUpstream;
+    const auto error = aCall.wasShed ? CallError::UpstreamShed
+                                     : static_cast<CallError>(chosen.error().value());
     endWith(aCall, aCall.mayHaveRun ? CallError::UpstreamFailed : error);
     return;
   }
-  aCall.upstream = chosen.value();
+  const auto& choice = chosen.value();
+  aCall.upstream = choice.address;
+  aCall.history.push_back({ choice.address.name, choice.load, choice.inFlight, now, {} });
   aCall.stage = CallStage::Sending;
   aCall.sentAt = now;
   aCall.askingRounds = 0;
@@ -282,6 +285,8 @@
 {
   const auto now = mTimers.now();
   mTables.upstreams.finished(*aCall.upstream, aEnd, now - aCall.sentAt, now);
+  aCall.history.back().end = aEnd;
+  aCall.history.back().endedAt = now;
   aCall.excluded.push_back(aCall.upstream->name);
   aCall.upstream.reset();
 }
--- a/libs/tables/include/tables/UpstreamTable.h
+++ b/libs/tables/include/tables/UpstreamTable.h
@@ -6,6 +6,7 @@
 #include <decide/TokenBucket.h>
 #include <decide/UpstreamPool.h>
 #include <random>
+#include <tables/UpstreamChoice.h>
 #include <unordered_map>
 
 namespace masticwall {
@@ -37,9 +38,10 @@
   /**
    * Chooses an upstream and counts a call on it: by the estimated latency, if that is the
    * preset's policy; otherwise the local region first, then others within the link's
-   * budget. Fails with CallError::NoUpstream.
+   * budget. Fails with CallError::NoUpstream, or with CallError::Overload if those that
+   * there are would take longer than the query allows.
    */
-  Result<UpstreamAddress> choose(const UpstreamQuery& aQuery, Instant aNow);
+  Result<UpstreamChoice> choose(const UpstreamQuery& aQuery, Instant aNow);
 
   /**
    * The upstreams whose load should be asked for before choose(), because they are likely
--- a/libs/tables/src/UpstreamTable.cpp
+++ b/libs/tables/src/UpstreamTable.cpp
@@ -28,7 +28,7 @@
   }
 }
 
-Result<UpstreamAddress>
+Result<UpstreamChoice>
 UpstreamTable::choose(const UpstreamQuery& aQuery, Instant aNow)
 {
   std::scoped_lock lock(mMutex);
@@ -39,9 +39,10 @@
           mLocality, aQuery.longest, mMaxInFlight, aQuery.excluded, aNow, mRandom)
       : chooseByRegion(pool, aQuery, aNow);
   if (chosen == nullptr) {
-    return CallError::NoUpstream;
+    return pool.hasCandidate(mMaxInFlight, aQuery.excluded, aNow) ? CallError::Overload
+                                                                  : CallError::NoUpstream;
   }
-  return chosen->address;
+  return UpstreamChoice{ chosen->address, chosen->load, chosen->inFlight };
 }
 
 const UpstreamState*
--- a/libs/telemetry/include/telemetry/EventLog.h
+++ b/libs/telemetry/include/telemetry/EventLog.h
@@ -7,7 +7,7 @@
 
 namespace masticwall {
 
-/** Starts logging to standard error for `aProcess`. Call once, before threads start. */
+/** Starts logging to standard output for `aProcess`. Call once, before threads start. */
 void
 startEventLog(const std::string& aProcess);
 
--- a/libs/telemetry/include/telemetry/LogEvent.h
+++ b/libs/telemetry/include/telemetry/LogEvent.h
@@ -36,6 +36,8 @@
   ReloadRequested,
   Reloaded,
   CallRefused,
+  CallEnded,
+  CallAttempt,
   SourceUnreachable,
   SourceReachable,
   SourceChanged,
@@ -48,7 +50,7 @@
 template<>
 struct EnumTable<LogEvent>
 {
-  static constexpr std::array<EnumName<LogEvent>, 35> kEntries{ {
+  static constexpr std::array<EnumName<LogEvent>, 37> kEntries{ {
     { LogEvent::Started, "started" },
     { LogEvent::Stopped, "stopped" },
     { LogEvent::StopRequested, "stop-requested" },
@@ -77,6 +79,8 @@
     { LogEvent::ReloadRequested, "reload-requested" },
     { LogEvent::Reloaded, "reloaded" },
     { LogEvent::CallRefused, "call-refused" },
+    { LogEvent::CallEnded, "call-ended" },
+    { LogEvent::CallAttempt, "call-attempt" },
     { LogEvent::SourceUnreachable, "source-unreachable" },
     { LogEvent::SourceReachable, "source-reachable" },
     { LogEvent::SourceChanged, "source-changed" },
--- a/libs/telemetry/src/EventLog.cpp
+++ b/libs/telemetry/src/EventLog.cpp
@@ -1,11 +1,13 @@
+#include "QueueAppender.h"
+#include <core/Bytes.h>
 #include <core/OrderedMutex.h>
 #include <core/Time.h>
-#include <log4cplus/consoleappender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
 #include <telemetry/EventLog.h>
+#include <unistd.h>
 
 namespace masticwall {
 
@@ -13,6 +15,9 @@
 
 constexpr int kLinesPerSecond = 20; ///< of one event
 
+/** Lines that wait for a slow reader of standard output. */
+constexpr std::size_t kMostLineBytes = 256 * kKiB;
+
 /** Lines of one event within the current second. */
 struct EventRate
 {
@@ -59,7 +64,7 @@
 {
   namespace l4c = log4cplus;
   static const l4c::Initializer sInitializer;
-  l4c::SharedAppenderPtr appender(new l4c::ConsoleAppender(true, true));
+  l4c::SharedAppenderPtr appender(new QueueAppender(STDOUT_FILENO, kMostLineBytes));
   appender->setLayout(std::make_unique<l4c::PatternLayout>(
     LOG4CPLUS_TEXT("time=%d{%Y-%m-%dT%H:%M:%S.%q}Z level=%p process=") + aProcess +
     LOG4CPLUS_TEXT(" %m%n")));
