Send nothing that is expected beyond 2.5 targets, nor behind which urgent calls would wait

Cause: in floods upstreams' queues filled up to the callers' deadlines: served late, for a tenth of the worth or less, and urgent calls behind them. Change: a limit on the estimate without the price of the distance, and on its wait for calls that share a service with more urgent ones.

--- a/libs/decide/include/decide/EstimatedLatency.h
+++ b/libs/decide/include/decide/EstimatedLatency.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <decide/LatencyEstimate.h>
 #include <decide/LoadScore.h>
 #include <decide/Locality.h>
 
@@ -14,7 +15,13 @@
   const Locality& locality;
   Duration typicalWork; ///< of a call in the service, without a wait
 
-  double operator()(const UpstreamState& aState, Instant aNow) const;
+  LatencyEstimate estimate(const UpstreamState& aState, Instant aNow) const;
+
+  double operator()(const UpstreamState& aState, Instant aNow) const
+  {
+    const auto it = estimate(aState, aNow);
+    return it.wait + it.work + it.distance;
+  }
 };
 
 static_assert(LoadScore<EstimatedLatency>);
--- a/libs/decide/include/decide/Preset.h
+++ b/libs/decide/include/decide/Preset.h
@@ -9,6 +9,7 @@
 #include <decide/Route.h>
 #include <decide/RouteIndex.h>
 #include <decide/Service.h>
+#include <decide/ServiceTargets.h>
 #include <vector>
 
 namespace masticwall {
@@ -24,10 +25,15 @@
   LinkBudget link;
   std::vector<Service> services;
   std::vector<Route> routes;
-  RouteIndex routeIndex; ///< of `routes`; see indexRoutes()
+  RouteIndex routeIndex;  ///< of `routes`; see indexRoutes()
+  ServiceTargets targets; ///< of `routes`; likewise
 
   /** To be called once the routes are complete. */
-  void indexRoutes() { routeIndex = RouteIndex(routes); }
+  void indexRoutes()
+  {
+    routeIndex = RouteIndex(routes);
+    targets = ServiceTargets(routes);
+  }
 };
 
 } // namespace masticwall
--- a/libs/decide/include/decide/UpstreamPool.h
+++ b/libs/decide/include/decide/UpstreamPool.h
@@ -7,7 +7,9 @@
 #include <decide/Chooser.h>
 #include <decide/EstimatedLatency.h>
 #include <decide/FewestInFlight.h>
+#include <decide/LatencyLimit.h>
 #include <decide/SlotShare.h>
+#include <limits>
 #include <memory>
 #include <string_view>
 #include <vector>
@@ -49,11 +51,11 @@
 
   /**
    * Chooses the upstream of any region with the lowest estimated latency and counts a
-   * call on it; none if even that is more than `aLongest`.
+   * call on it; none if the estimates of all are beyond `aLimit`.
    */
   template<RandomSource R>
   const UpstreamState* chooseNearest(const Locality& aLocality,
-                                     Duration aLongest,
+                                     const LatencyLimit& aLimit,
                                      int aMaxInFlight,
                                      const std::vector<std::string>& aExcluded,
                                      Instant aNow,
@@ -63,11 +65,13 @@
     const EstimatedLatency score{ aLocality, typicalWork() };
     std::uniform_real_distribution<double> blur(1.0, kBlur);
     UpstreamState* best = nullptr;
-    auto bestScore = std::chrono::duration<double>(aLongest).count() * kBlur;
+    auto bestScore = std::numeric_limits<double>::max();
     for (auto* const it : candidates) {
+      const auto estimate = score.estimate(*it, aNow);
       // Processes that know the same must not all choose the same.
-      const auto value = score(*it, aNow) * blur(aRandom);
-      if (value < bestScore) {
+      const auto value =
+        (estimate.wait + estimate.work + estimate.distance) * blur(aRandom);
+      if (value < bestScore && isWithin(estimate, aLimit)) {
         best = it;
         bestScore = value;
       }
@@ -140,6 +144,13 @@
 private:
   static constexpr double kBlur = 1.2; ///< scores are taken up to this factor longer
 
+  static bool isWithin(const LatencyEstimate& aEstimate, const LatencyLimit& aLimit)
+  {
+    const std::chrono::duration<double> wait(aEstimate.wait);
+    const std::chrono::duration<double> whole(aEstimate.wait + aEstimate.work);
+    return wait <= aLimit.wait && whole <= aLimit.whole;
+  }
+
   template<RandomSource R>
   static UpstreamState* pick(ChoicePolicy aPolicy,
                              Candidates aCandidates,
--- a/libs/decide/src/EstimatedLatency.cpp
+++ b/libs/decide/src/EstimatedLatency.cpp
@@ -49,8 +49,8 @@
 
 } // namespace
 
-double
-EstimatedLatency::operator()(const UpstreamState& aState, Instant aNow) const
+LatencyEstimate
+EstimatedLatency::estimate(const UpstreamState& aState, Instant aNow) const
 {
   const auto load = expectedLoad(aState, aNow);
   const auto speedWeight = weightAfter(aNow - aState.load.at, kSpeedHalfLife);
@@ -59,7 +59,7 @@
   work *= aState.address.isCold ? kColdFactor : 1.0;
   work *= load > kCrowdedShare ? kCrowdedFactor : 1.0;
   const auto wait = std::max(0.0, load - 1.0) * work;
-  return work + wait + distance(aState, locality);
+  return { wait, work, distance(aState, locality) };
 }
 
 } // namespace masticwall
--- a/libs/decide/tests/EstimatedLatencyTest.cpp
+++ b/libs/decide/tests/EstimatedLatencyTest.cpp
@@ -46,10 +46,10 @@
     mPool.reportLoad(aName, load);
   }
 
-  std::string choose(Duration aLongest = 10s)
+  std::string choose(Duration aLongest = 10s, Duration aWait = 10s)
   {
-    const auto* const chosen =
-      mPool.chooseNearest(mLocality, aLongest, kMaxInFlight, {}, mTime.now(), mRandom);
+    const auto* const chosen = mPool.chooseNearest(
+      mLocality, { aLongest, aWait }, kMaxInFlight, {}, mTime.now(), mRandom);
     return chosen == nullptr ? "" : chosen->address.name;
   }
 
@@ -108,6 +108,24 @@
   CHECK_FALSE(choose(10s).empty());
 }
 
+TEST_CASE_METHOD(Fixture, "a call that must not hold up urgent ones waits only shortly")
+{
+  for (const auto* const it : { "near-1", "near-2", "next", "far" }) {
+    report(it, 4, 2, 100);
+  }
+  CHECK(choose(10s, 20ms).empty());
+  CHECK_FALSE(choose(10s, 10s).empty());
+}
+
+TEST_CASE_METHOD(Fixture, "the way there does not count against the limit")
+{
+  for (const auto* const it : { "near-1", "near-2", "next" }) {
+    report(it, 4, 8, 400);
+  }
+  report("far", 0, 0, 100);
+  CHECK(choose(250ms) == "far");
+}
+
 TEST_CASE_METHOD(Fixture, "only favourites without a fresh report are asked")
 {
   CHECK(stale(2).size() == 2);
--- /dev/null
+++ b/libs/decide/tests/ServiceTargetsTest.cpp
@@ -0,0 +1,23 @@
+#include <catch2/catch.hpp>
+#include <decide/ServiceTargets.h>
+
+using namespace masticwall;
+
+TEST_CASE("the tightest target of more urgent routes of the same service is found")
+{
+  Route urgent;
+  urgent.service = std::string("s");
+  urgent.rank = Rank::Urgent;
+  urgent.target = 400ms;
+  Route standard;
+  standard.split = { { "s", 1.0 }, { "t", 1.0 } };
+  standard.rank = Rank::Standard;
+  standard.target = 150ms;
+  const ServiceTargets targets({ urgent, standard });
+  CHECK(targets.tightestAbove("s", Rank::Urgent) == Duration::max());
+  CHECK(targets.tightestAbove("s", Rank::Standard) == 400ms);
+  CHECK(targets.tightestAbove("s", Rank::Bulk) == 150ms);
+  CHECK(targets.tightestAbove("t", Rank::Standard) == Duration::max());
+  CHECK(targets.tightestAbove("t", Rank::Bulk) == 150ms);
+  CHECK(targets.tightestAbove("other", Rank::Bulk) == Duration::max());
+}
--- a/libs/entry/src/EntryWorker.h
+++ b/libs/entry/src/EntryWorker.h
@@ -69,6 +69,7 @@
 
   // Sending
   void sendIfReady(Call& aCall);
+  LatencyLimit limitOf(const Call& aCall) const;
   UpstreamQuery queryOf(const Call& aCall) const;
   void send(Call& aCall);
   http::Exchange makeExchange(const Call& aCall);
--- a/libs/entry/src/EntryWorkerSending.cpp
+++ b/libs/entry/src/EntryWorkerSending.cpp
@@ -11,6 +11,12 @@
 
 constexpr int kFirstErrorStatus = 500;
 
+/** An answer expected later than so many targets is not worth its slot in a flood. */
+constexpr double kUsefulTargets = 2.5;
+
+/** Calls may queue for this part of the target of more urgent calls of their service. */
+constexpr double kShareOfUrgent = 0.6;
+
 /** How long an order's outcome is awaited after its caller's deadline. */
 constexpr Duration kSettleTime = std::chrono::seconds(30);
 constexpr Duration kProbeTimeout = std::chrono::milliseconds(250);
@@ -28,6 +34,25 @@
   }
 }
 
+LatencyLimit
+EntryWorker::limitOf(const Call& aCall) const
+{
+  const auto now = mTimers.now();
+  const auto target = aCall.route->target;
+  LatencyLimit limit;
+  limit.whole = aCall.deadline - now;
+  if (target > Duration{ 0 }) {
+    const auto useful = std::chrono::duration_cast<Duration>(kUsefulTargets * target);
+    limit.whole = std::min(limit.whole, useful - (now - aCall.arrivedAt));
+  }
+  const auto urgent =
+    aCall.preset->targets.tightestAbove(aCall.service, aCall.route->rank);
+  if (urgent != Duration::max()) {
+    limit.wait = std::chrono::duration_cast<Duration>(kShareOfUrgent * urgent);
+  }
+  return limit;
+}
+
 UpstreamQuery
 EntryWorker::queryOf(const Call& aCall) const
 {
@@ -35,7 +60,7 @@
            aCall.route->rank,
            aCall.request.body.size() + kExpectedAnswerBytes,
            aCall.excluded,
-           aCall.deadline - mTimers.now() };
+           limitOf(aCall) };
 }
 
 void
--- a/libs/tables/include/tables/UpstreamTable.h
+++ b/libs/tables/include/tables/UpstreamTable.h
@@ -18,7 +18,7 @@
   Rank rank = Rank::Standard;
   std::size_t bytes = 0; ///< expected on the link, if another region is taken
   std::vector<std::string> excluded;
-  Duration longest = Duration::max(); ///< no upstream is chosen that would take longer
+  LatencyLimit limit; ///< no upstream is chosen that is expected beyond it
 };
 
 /**
--- a/libs/tables/src/UpstreamTable.cpp
+++ b/libs/tables/src/UpstreamTable.cpp
@@ -36,7 +36,7 @@
   const auto* const chosen =
     mChoice == ChoicePolicy::EstimatedLatency
       ? pool.chooseNearest(
-          mLocality, aQuery.longest, mMaxInFlight, aQuery.excluded, aNow, mRandom)
+          mLocality, aQuery.limit, mMaxInFlight, aQuery.excluded, aNow, mRandom)
       : chooseByRegion(pool, aQuery, aNow);
   if (chosen == nullptr) {
     return pool.hasCandidate(mMaxInFlight, aQuery.excluded, aNow) ? CallError::Overload
