--- a/libs/ctl/src/Commands.h
+++ b/libs/ctl/src/Commands.h
@@ -3,6 +3,7 @@
 #include "CtlSettings.h"
 #include <ctl/CtlExit.h>
 #include <string>
+#include <vector>
 
 namespace masticwall::commands {
 
@@ -36,4 +37,10 @@
 CtlExit
 drain(const CtlSettings& aSettings, const std::string& aVm);
 
+/** Prints the lines of request `aId` from the logs of several processes, by time. */
+CtlExit
+explain(const CtlSettings& aSettings,
+        const std::string& aId,
+        const std::vector<std::string>& aFiles);
+
 } // namespace masticwall::commands
--- a/libs/ctl/src/CtlError.h
+++ b/libs/ctl/src/CtlError.h
@@ -16,13 +16,14 @@
   PresetInvalid,
   RecordVoid,    ///< another record came first
   RecordInvalid, ///< it would make an invalid preset
+  RequestUnknown,
 };
 
 template<>
 struct EnumTable<CtlError>
 {
   static constexpr const char* kCategory = "ctl";
-  static constexpr std::array<EnumName<CtlError>, 8> kEntries{ {
+  static constexpr std::array<EnumName<CtlError>, 9> kEntries{ {
     { CtlError::LogUnreachable,
       "the log service does not answer; the record may still take effect: look at "
       "'masticwallctl history' before you try again" },
@@ -36,6 +37,8 @@
       "'masticwallctl history', then try again" },
     { CtlError::RecordInvalid,
       "it would make an invalid preset, or there is no such preset; nothing changed" },
+    { CtlError::RequestUnknown,
+      "no line of these logs names the request; calls answered in time are sampled" },
   } };
 };
 
--- a/libs/ctl/src/CtlMain.cpp
+++ b/libs/ctl/src/CtlMain.cpp
@@ -37,6 +37,7 @@
 addCommands(CLI::App& aApp,
             const CtlSettings& aSettings,
             std::string& aText,
+            std::vector<std::string>& aFiles,
             std::uint64_t& aVersion)
 {
   using namespace commands;
@@ -65,11 +66,18 @@
         [&] { return wait(aSettings, aVersion); }),
     addWithText("state", "VM", "Print a VM's state dump.", state),
     addWithText("drain", "VM", "Ask a VM to leave.", drain),
+    add("explain",
+        "Print what the logs say of a request.",
+        [&] { return explain(aSettings, aText, aFiles); }),
   };
   for (auto& it : list) {
     if (it.app->get_name() == "wait") {
       it.app->add_option("VERSION", aVersion)->required();
     }
+    if (it.app->get_name() == "explain") {
+      it.app->add_option("ID", aText, "The request's id.")->required();
+      it.app->add_option("FILE", aFiles, "Logs of entries or gateways.")->required();
+    }
     it.app->fallthrough();
   }
   return list;
@@ -87,9 +95,10 @@
   app.require_subcommand(1);
   CtlSettings settings;
   std::string text;
+  std::vector<std::string> files;
   std::uint64_t version = 0;
   addOptions(app, settings);
-  const auto list = addCommands(app, settings, text, version);
+  const auto list = addCommands(app, settings, text, files, version);
   try {
     app.parse(aArgc, aArgv);
   } catch (const CLI::ParseError& error) {
--- a/tests/harness/GatewaySystem.cpp
+++ b/tests/harness/GatewaySystem.cpp
@@ -159,6 +159,22 @@
                   5000);
 }
 
+QString
+GatewaySystem::explain(const std::string& aId)
+{
+  QStringList arguments{ QStringLiteral("explain"), QString::fromStdString(aId) };
+  for (std::size_t i = 0; i < mGateways.size(); ++i) {
+    const auto path = mDirectory.filePath(QStringLiteral("log-%1").arg(i));
+    QFile file(path);
+    if (file.open(QIODevice::Append)) {
+      file.write(mGateways[i]->standardOutput().toUtf8());
+    }
+    arguments.append(path);
+  }
+  ChildProcess ctl(QStringLiteral("masticwallctl"), arguments);
+  return ctl.waitForEnd() == 0 ? ctl.standardOutput() : QString();
+}
+
 int
 GatewaySystem::runsOf(const std::string& aId) const
 {
--- a/tests/harness/GatewaySystem.h
+++ b/tests/harness/GatewaySystem.h
@@ -49,6 +49,9 @@
                                      const std::string& aId,
                                      const http::HeaderList& aMore = {});
 
+  /** What masticwallctl explains of a request from the logs of all gateways so far. */
+  QString explain(const std::string& aId);
+
   /** The upstreams that ran the request `aId`, over all of them. */
   int runsOf(const std::string& aId) const;
   QHostAddress host(int aLast) const;
--- a/tests/integration/CtlTest.cpp
+++ b/tests/integration/CtlTest.cpp
@@ -147,3 +147,41 @@
           "masticwall_calls_total{rank=\"standard\",result=\"answered\"} 5") !=
         std::string::npos);
 }
+
+TEST_CASE("masticwallctl explains a request from the logs of several processes, in order")
+{
+  QTemporaryDir directory;
+  const auto write = [&](const char* aName, const char* aLines) {
+    QFile file(directory.filePath(text(aName)));
+    REQUIRE(file.open(QIODevice::WriteOnly));
+    file.write(aLines);
+    return file.fileName();
+  };
+  const auto first = write("first",
+                           "time=2026-12-04T10:00:02.000Z event=call-ended id=a1\n"
+                           "time=2026-12-04T10:00:00.000Z event=call-ended id=a12\n");
+  const auto second = write("second",
+                            "time=2026-12-04T10:00:01.000Z event=upstream-failed id=a1\n"
+                            "not a line of ours\n");
+  ChildProcess process(text("masticwallctl"),
+                       { text("explain"), text("a1"), first, second });
+  CHECK(process.waitForEnd() == 0);
+  CHECK(process.standardOutput() ==
+        text("time=2026-12-04T10:00:01.000Z event=upstream-failed id=a1\n"
+             "time=2026-12-04T10:00:02.000Z event=call-ended id=a1\n"));
+  ChildProcess unknown(text("masticwallctl"), { text("explain"), text("b"), first });
+  CHECK(unknown.waitForEnd() == 2);
+  ChildProcess unreadable(text("masticwallctl"),
+                          { text("explain"), text("a1"), text("/nowhere") });
+  CHECK(unreadable.waitForEnd() == 2);
+}
+
+TEST_CASE("the gateway reports settings that it can't use, with exit code 2")
+{
+  ChildProcess none(text("masticwall-gateway"), {});
+  CHECK(none.waitForEnd() == 2);
+  ChildProcess missing(text("masticwall-gateway"),
+                       { text("--settings"), text("/nowhere") });
+  CHECK(missing.waitForEnd() == 2);
+  CHECK(missing.standardError().contains(text("settings-missing")));
+}
--- a/tests/integration/GatewayTest.cpp
+++ b/tests/integration/GatewayTest.cpp
@@ -14,6 +14,12 @@
   return aResponse.has_value() ? aResponse->status : 0;
 }
 
+QString
+text(const char* aText)
+{
+  return QString::fromUtf8(aText);
+}
+
 /** Sends lookups to a gateway until its answer's status is `aStatus`. */
 bool
 reachesStatus(GatewaySystem& aSystem, int aGateway, const std::string& aPath, int aStatus)
@@ -177,3 +183,45 @@
   CHECK(system.gateway(0).waitForEnd() == 0);
   CHECK(statusOf(system.call(1, "GET", "/read/1", "other")) == 200);
 }
+
+TEST_CASE("a refused request is explained by its id: no upstream could answer in time")
+{
+  GatewaySystem system(2, 1);
+  REQUIRE(system.start());
+  system.setUpstream(0, "slow_factor=400&service_ms=500");
+  REQUIRE(waitUntil(
+    [&] { return statusOf(system.call(0, "GET", "/read/1", "refused-1")) == 503; }));
+  REQUIRE(
+    waitUntil([&] { return system.explain("refused-1").contains(text("overload")); }));
+  const auto story = system.explain("refused-1");
+  CHECK(story.contains(text("outcome=not-run reason=overload route=r/read/")));
+  CHECK(story.contains(text("attempts=0")));
+}
+
+TEST_CASE("an order whose upstream crashed is explained: sent once, then no answer")
+{
+  GatewaySystem system(2, 2);
+  REQUIRE(system.start());
+  const http::HeaderList crash{ { "Test-Behaviour", "crash" } };
+  CHECK(statusOf(system.call(1, "POST", "/order/1", "unknown-1", crash)) == 502);
+  REQUIRE(waitUntil([&] { return system.explain("unknown-1").contains(text("ended")); }));
+  const auto story = system.explain("unknown-1");
+  CHECK(story.contains(text("error=closed may_have_run=yes")));
+  CHECK(story.contains(text("outcome=unknown reason=upstream-failed route=r/order/")));
+  CHECK(story.contains(text("event=call-attempt id=unknown-1 attempt=1")));
+  CHECK(story.contains(text("end=failed")));
+}
+
+TEST_CASE("a late request is explained: its upstream, on figures of this age, was slow")
+{
+  GatewaySystem system(1, 1);
+  REQUIRE(system.start());
+  const http::HeaderList slow{ { "Test-Service-Ms", "700" } };
+  CHECK(statusOf(system.call(0, "GET", "/read/1", "late-1", slow)) == 200);
+  REQUIRE(
+    waitUntil([&] { return system.explain("late-1").contains(text("attempt=1")); }));
+  const auto story = system.explain("late-1");
+  CHECK(story.contains(text("outcome=answered reason=- route=r/read/")));
+  CHECK(story.contains(text("work_percent=100")));
+  CHECK(story.contains(text("report_age_ms=")));
+}
