Take over from a reader that can't read in time for the drain's bound

A follower learnt at 1.6 s of age that its source was out of date, and then waited up to half a second at each further source. Ruled out: the store's refusal of the followers themselves (those that sent were served by it). A process that starts has its whole budget of load queries; connections to an upstream are shared by the listed entries.

--- a/libs/entry/src/ControlLink.cpp
+++ b/libs/entry/src/ControlLink.cpp
@@ -114,7 +114,7 @@
     later(kRetryDelay, [this] { askFeed(); });
     return;
   }
-  mHave = { feed.value().version, feed.value().revision };
+  mHave = { feed.value().version, feed.value().revision, true };
   mOnFeed(feed.value());
   askFeed();
 }
--- a/libs/entry/src/EntryWorker.cpp
+++ b/libs/entry/src/EntryWorker.cpp
@@ -64,12 +64,17 @@
   }
   const auto& limits = preset->limits;
   const int workers = mTables.settings.workers;
-  const int sharers =
-    limits.areShared ? mTables.entryCount * kMembershipMargin * workers : workers;
+  const int entries = limits.areShared ? mTables.entryCount.load() : 1;
+  const int sharers = entries * workers * (limits.areShared ? kMembershipMargin : 1);
   mBack.setConnectionsPerUpstream(
-    std::max(kFewestConnections, limits.connectionsPerUpstream / sharers));
+    std::max(kFewestConnections, limits.connectionsPerUpstream / (entries * workers)));
   const auto asked = preset->measuring.probesPerSecond * mTables.upstreamCount / sharers;
-  mLoadQueries.configure(asked, asked);
+  if (mLoadQueries.has_value()) {
+    mLoadQueries->configure(asked, asked);
+  } else {
+    // Full at first: a process that has just started knows no loads at all.
+    mLoadQueries.emplace(asked, asked);
+  }
   mRetryBudget.configure(limits.retryBudget, limits.retryBurst / sharers);
   if (limits.idleTimeout > Duration{ 0 }) {
     mFront->setTimeouts(limits.headerTimeout, limits.idleTimeout);
--- a/libs/entry/src/EntryWorker.h
+++ b/libs/entry/src/EntryWorker.h
@@ -7,6 +7,7 @@
 #include <decide/TrafficSplit.h>
 #include <http/BackPool.h>
 #include <http/FrontListener.h>
+#include <optional>
 #include <random>
 #include <runtime/TimerService.h>
 #include <unordered_map>
@@ -114,7 +115,7 @@
   std::unique_ptr<http::FrontListener> mFront;
   std::unordered_map<std::uint64_t, std::unique_ptr<Call>> mCalls;
   std::uint64_t mNextCall = 1;
-  TokenBucket mLoadQueries{ 0, 0 };
+  std::optional<TokenBucket> mLoadQueries; ///< from the first preset on
   RetryBudget mRetryBudget;
   TrafficSplit mSplit;
   std::mt19937_64 mRandom;
--- a/libs/entry/src/EntryWorkerAsking.cpp
+++ b/libs/entry/src/EntryWorkerAsking.cpp
@@ -45,7 +45,7 @@
   const auto stale = mTables.upstreams.staleFavourites(
     queryOf(aCall), static_cast<std::size_t>(n), kFreshFor, now);
   const auto cost = static_cast<double>(stale.size());
-  if (stale.empty() || !mLoadQueries.take(cost, now)) {
+  if (stale.empty() || !mLoadQueries->take(cost, now)) {
     send(aCall);
     return;
   }
--- a/libs/feed/include/feed/FeedServer.h
+++ b/libs/feed/include/feed/FeedServer.h
@@ -69,7 +69,7 @@
   for (const auto& taken : std::exchange(mTakenBy, {})) {
     taken();
   }
-  if (hasNews(aHave)) {
+  if (!aHave.mayWait || hasNews(aHave)) {
     reply(aHave, aReply);
     return;
   }
--- a/libs/gateway/include/gateway/Follower.h
+++ b/libs/gateway/include/gateway/Follower.h
@@ -60,7 +60,10 @@
   void follow(std::size_t aPlace);
   void onReply(std::size_t aPlace, std::uint64_t aTurn, const Result<QByteArray>& aReply);
   bool take(const Feed& aFeed);
-  void probe(std::size_t aPlace, std::uint64_t aTurn);
+  void search(std::size_t aFirst, std::size_t aEnd);
+  void onFound(std::size_t aPlace, std::uint64_t aTurn, const Result<QByteArray>& aReply);
+  void searchLater();
+  void leave(std::size_t aPlace);
   void startReading();
   void read();
   void onReading(const Result<SourceReading>& aReading);
@@ -69,10 +72,6 @@
   void updateSources();
   void ask(const Vm& aVm, const FeedRequest& aHave, PeerClient::Callback aDone);
   Duration spread(Duration aTime);
-  Duration probeDelay()
-  {
-    return spread(age() < kStaleAfter ? kProbePeriod : kUrgentProbePeriod);
-  }
 
   TimerService& mTimers;
   EntryTables& mTables;
@@ -85,11 +84,13 @@
   VmList mSources;
   UpstreamHold mHold;
   std::uint64_t mTold = 0; ///< revision of the membership at the VM that is followed
+  std::size_t mPlace = 0;  ///< of the VM that is followed, among the sources
   std::uint64_t mTurn = 0; ///< rises when another source is followed
   int mFailures = 0;       ///< readings in a row
   bool mIsReading = false;
   TimerSubscription mReadTimer;
-  TimerSubscription mProbeTimer;
+  TimerSubscription mSearchTimer;
+  TimerSubscription mTakeOverTimer;
   TimerSubscription mAnnounceTimer;
   std::mt19937_64 mRandom{ std::random_device()() };
 };
@@ -100,7 +101,8 @@
 {
   mIsReading = true;
   mSources = aSeeds;
-  probe(0, mTurn);
+  search(0, mSources.size());
+  searchLater();
   // Many VMs may start at the same moment.
   mReadTimer = mTimers.subscribeIn(spread(kStartSpread), [this] {
     announce();
@@ -136,14 +138,15 @@
     startReading();
     return;
   }
+  mPlace = aPlace;
   const auto turn = mTurn;
   ask(mSources[aPlace],
-      { mKnown.presetVersion(), mTold },
+      { mKnown.presetVersion(), mTold, true },
       [this, aPlace, turn](const Result<QByteArray>& aReply) {
         onReply(aPlace, turn, aReply);
       });
-  if (aPlace > 0 && !mProbeTimer.isActive()) {
-    mProbeTimer = mTimers.subscribeIn(probeDelay(), [this] { probe(0, mTurn); });
+  if (aPlace > 0 && !mSearchTimer.isActive()) {
+    searchLater();
   }
 }
 
@@ -158,20 +161,38 @@
   }
   const auto feed =
     aReply.has_value() ? decodeFeed(aReply.value()) : Result<Feed>(aReply.error());
-  if (feed.has_value() && take(feed.value())) {
+  const bool isFresh = feed.has_value() && take(feed.value());
+  if (aTurn != mTurn) {
+    return; // the news was of other sources
+  }
+  if (isFresh) {
     mTold = feed.value().revision;
-    if (aTurn == mTurn) {
-      follow(aPlace);
-    }
+    follow(aPlace);
     return;
   }
   logEvent(LogEvent::FeedLost,
            { { "vm", mSources[aPlace].name },
              { "error", feed.has_error() ? feed.error().message() : "out-of-date" },
              { "age_ms", toMilliseconds(age()) } });
-  mTold = 0;
+  leave(aPlace);
+}
+
+template<Source S>
+void
+Follower<S>::leave(std::size_t aPlace)
+{
   ++mTurn;
-  follow(aPlace + 1);
+  mTold = 0;
+  const auto first = aPlace + 1;
+  if (first >= mSources.size()) {
+    startReading();
+    return;
+  }
+  search(first, mSources.size());
+  // Those before this VM in order read first, and it finds them fresh.
+  const auto n = static_cast<Duration::rep>(std::min(mSources.size(), kMostAsked));
+  mTakeOverTimer =
+    mTimers.subscribeIn(kTakeOverAfter + n * kTakeOverStep, [this] { startReading(); });
 }
 
 template<Source S>
@@ -193,30 +214,51 @@
 
 template<Source S>
 void
-Follower<S>::probe(std::size_t aPlace, std::uint64_t aTurn)
+Follower<S>::search(std::size_t aFirst, std::size_t aEnd)
 {
-  mProbeTimer.cancel();
-  if (aTurn != mTurn || aPlace >= mSources.size()) {
-    if (!mSources.empty()) {
-      mProbeTimer = mTimers.subscribeIn(probeDelay(), [this] { probe(0, mTurn); });
-    }
+  const auto turn = mTurn;
+  const auto end = std::min({ aEnd, aFirst + kMostAsked, mSources.size() });
+  for (auto i = aFirst; i < end; ++i) {
+    ask(mSources[i],
+        { mKnown.presetVersion(), 0, false },
+        [this, i, turn](const Result<QByteArray>& aReply) { onFound(i, turn, aReply); });
+  }
+}
+
+template<Source S>
+void
+Follower<S>::onFound(std::size_t aPlace,
+                     std::uint64_t aTurn,
+                     const Result<QByteArray>& aReply)
+{
+  if (aTurn != mTurn || aReply.has_error()) {
+    return; // silent sources are asked again by the next search
+  }
+  const auto feed = decodeFeed(aReply.value());
+  if (feed.has_error()) {
+    logEvent(LogEvent::MessageBad, { { "error", feed.error().message() } });
     return;
   }
-  ask(mSources[aPlace], {}, [this, aPlace, aTurn](const Result<QByteArray>& aReply) {
-    if (aTurn != mTurn) {
-      return;
-    }
-    const auto feed =
-      aReply.has_value() ? decodeFeed(aReply.value()) : Result<Feed>(aReply.error());
-    if (feed.has_error() || !take(feed.value()) || aTurn != mTurn) {
-      probe(aPlace + 1, aTurn);
-      return;
-    }
-    ++mTurn;
-    mTold = feed.value().revision;
-    mIsReading = false;
-    mReadTimer.cancel();
-    follow(aPlace);
+  if (!take(feed.value()) || aTurn != mTurn) {
+    return;
+  }
+  ++mTurn;
+  mTold = feed.value().revision;
+  mIsReading = false;
+  mReadTimer.cancel();
+  mTakeOverTimer.cancel();
+  mSearchTimer.cancel();
+  follow(aPlace);
+}
+
+template<Source S>
+void
+Follower<S>::searchLater()
+{
+  const auto period = age() < kStaleAfter ? kSearchPeriod : kUrgentSearchPeriod;
+  mSearchTimer = mTimers.subscribeIn(spread(period), [this] {
+    search(0, mIsReading ? mSources.size() : mPlace);
+    searchLater();
   });
 }
 
@@ -224,13 +266,14 @@
 void
 Follower<S>::startReading()
 {
+  mTakeOverTimer.cancel();
   if (!mIsReading) {
     mIsReading = true;
     logEvent(LogEvent::SourceTakenOver, { { "age_ms", toMilliseconds(age()) } });
     read();
   }
-  if (!mSources.empty() && !mProbeTimer.isActive()) {
-    mProbeTimer = mTimers.subscribeIn(probeDelay(), [this] { probe(0, mTurn); });
+  if (!mSources.empty() && !mSearchTimer.isActive()) {
+    searchLater();
   }
 }
 
@@ -319,8 +362,10 @@
   mSources = std::move(sources);
   mTold = 0;
   ++mTurn;
+  mTakeOverTimer.cancel();
   if (mIsReading) {
-    probe(0, mTurn);
+    search(0, mSources.size());
+    searchLater();
   } else {
     follow(0);
   }
--- a/libs/messages/include/messages/Feed.h
+++ b/libs/messages/include/messages/Feed.h
@@ -15,6 +15,7 @@
 {
   std::uint64_t version = 0;  ///< of the preset in force
   std::uint64_t revision = 0; ///< of the membership
+  bool mayWait = true;        ///< for news; else the reply comes at once
 };
 
 /** A request that has taken upstreams down. */
--- a/libs/messages/src/Feed.cpp
+++ b/libs/messages/src/Feed.cpp
@@ -83,6 +83,7 @@
   CborWriter writer;
   writer.number(Field::Version, aRequest.version);
   writer.number(Field::Revision, aRequest.revision);
+  writer.flag(Field::MayWait, aRequest.mayWait);
   return writer.bytes();
 }
 
@@ -93,6 +94,7 @@
   FeedRequest request;
   request.version = reader.number(Field::Version);
   request.revision = reader.number(Field::Revision);
+  request.mayWait = reader.flag(Field::MayWait);
   if (reader.error()) {
     return reader.error();
   }
--- a/libs/messages/src/Field.h
+++ b/libs/messages/src/Field.h
@@ -50,6 +50,7 @@
   IsCold = 43,
   AgeMs = 44,
   IsHeld = 45,
+  MayWait = 46,
 };
 
 } // namespace masticwall
