--- a/libs/entry/include/entry/EntryTables.h
+++ b/libs/entry/include/entry/EntryTables.h
@@ -40,7 +40,7 @@
   CallStatistics statistics;
   std::vector<WorkerGauges> gauges; ///< by worker
   std::atomic<std::uint64_t> nextClaim{ 1 };
-  std::atomic<int> entryCount{ 1 }; ///< entry processes that are listed, this one too
+  std::atomic<int> entryCount{ 1 };    ///< entry processes that are listed, this one too
   std::atomic<int> upstreamCount{ 0 }; ///< upstreams that are listed
   std::atomic<bool> isLeaving{ false };
 };
--- a/libs/http/include/http/ResponseParser.h
+++ b/libs/http/include/http/ResponseParser.h
@@ -14,8 +14,8 @@
 {
 public:
   /**
-   * `aIsHead`: the request was HEAD, so that no body follows. `aMayBeUnframed`: a response
-   * may have no length and end with its connection; else it is refused as
+   * `aIsHead`: the request was HEAD, so that no body follows. `aMayBeUnframed`: a
+   * response may have no length and end with its connection; else it is refused as
    * HttpError::Unframed, because a cut one could not be told from a whole one.
    */
   ResponseParser(const MessageLimits& aLimits, bool aIsHead, bool aMayBeUnframed);
--- a/libs/telemetry/include/telemetry/LineQueue.h
+++ b/libs/telemetry/include/telemetry/LineQueue.h
@@ -7,9 +7,9 @@
 namespace masticwall {
 
 /**
- * Writes lines to a file descriptor from a thread of its own. push() never waits: when the
- * reader at the other end is slow or has stopped, lines are dropped and counted, and the
- * count is written once there is room again. Thread-safe.
+ * Writes lines to a file descriptor from a thread of its own. push() never waits: when
+ * the reader at the other end is slow or has stopped, lines are dropped and counted, and
+ * the count is written once there is room again. Thread-safe.
  */
 class LineQueue
 {
