--- a/libs/decide/include/decide/UpstreamPool.h
+++ b/libs/decide/include/decide/UpstreamPool.h
@@ -108,6 +108,7 @@
     const EstimatedLatency score{ aLocality, typicalWork() };
     std::uniform_real_distribution<double> blur(1.0, kBlur);
     std::vector<std::pair<double, UpstreamState*>> ranked;
+    ranked.reserve(candidates.size());
     for (auto* const it : candidates) {
       ranked.emplace_back(score(*it, aNow) * blur(aRandom), it);
     }
--- a/libs/entry/src/EntryWorkerSending.cpp
+++ b/libs/entry/src/EntryWorkerSending.cpp
@@ -1,7 +1,5 @@
-#include "CallerIdentity.h"
 #include "EntryWorker.h"
 #include <http/BackError.h>
-#include <http/ConnectProbe.h>
 #include <telemetry/EventLog.h>
 
 // The part of EntryWorker that sends calls to upstreams.
@@ -19,7 +17,6 @@
 
 /** How long an order's outcome is awaited after its caller's deadline. */
 constexpr Duration kSettleTime = std::chrono::seconds(30);
-constexpr Duration kProbeTimeout = std::chrono::milliseconds(250);
 
 /** Bytes of a request and its answer on the link, where nothing better is known. */
 constexpr std::size_t kExpectedAnswerBytes = 2048;
@@ -226,59 +223,6 @@
              aResult.mayHaveRun ? CallError::UpstreamFailed : CallError::NoUpstream);
 }
 
-void
-EntryWorker::checkDeath(Call& aCall)
-{
-  if (!aCall.isOrder()) {
-    aCall.fingerprint = requestDigest(aCall.request);
-  }
-  const auto id = aCall.id;
-  const auto upstream = *aCall.upstream;
-  aCall.upstream.reset();
-  const auto onProbed = [this, id, fingerprint = aCall.fingerprint](bool aIsListening) {
-    if (aIsListening) {
-      onDeathKnown(id);
-    } else {
-      shareDeath(id, fingerprint);
-    }
-  };
-  http::probeConnect(mTimers,
-                     QHostAddress(QString::fromStdString(upstream.host)),
-                     upstream.port,
-                     kProbeTimeout,
-                     onProbed);
-}
-
-void
-EntryWorker::shareDeath(std::uint64_t aCall, const Digest& aFingerprint)
-{
-  const auto reporter =
-    mTables.settings.common.vm + '#' + std::to_string(mTables.incarnation);
-  const auto deaths = mTables.suspects.noteDeath(aFingerprint, reporter, mTimers.now());
-  auto& hub = mHub;
-  // The caller is answered only after the other VMs know, so that a resend through
-  // whichever of them meets the count.
-  hub.postToMain([&hub, aFingerprint, reporter, deaths, aCall, worker = mIndex] {
-    const auto onTold = [&hub, aCall, worker] {
-      hub.postToWorker(worker,
-                       [aCall](EntryWorker& aWorker) { aWorker.onDeathKnown(aCall); });
-    };
-    if (hub.backplane.reportSuspect) {
-      hub.backplane.reportSuspect({ aFingerprint, reporter, deaths }, onTold);
-    } else {
-      onTold();
-    }
-  });
-}
-
-void
-EntryWorker::onDeathKnown(std::uint64_t aCall)
-{
-  if (auto* const call = find(aCall)) {
-    retryOrEnd(*call, CallError::UpstreamFailed);
-  }
-}
-
 bool
 EntryWorker::mayTryAgain(const Call& aCall)
 {
--- a/libs/gateway/include/gateway/GatewayDaemon.h
+++ b/libs/gateway/include/gateway/GatewayDaemon.h
@@ -19,10 +19,10 @@
 
   /** Starts to listen. Fails with the system's error if a port can't be listened on. */
   static Result<std::unique_ptr<GatewayDaemon>> create(const GatewaySettings& aSettings,
-                                                       Ended aEnded)
+                                                       const Ended& aEnded)
   {
     auto daemon = std::unique_ptr<GatewayDaemon>(new GatewayDaemon(aSettings));
-    BOOST_OUTCOME_TRYV(daemon->start(std::move(aEnded)));
+    BOOST_OUTCOME_TRYV(daemon->start(aEnded));
     return daemon;
   }
 
@@ -39,7 +39,7 @@
   {
   }
 
-  Result<void> start(Ended aEnded);
+  Result<void> start(const Ended& aEnded);
   Backplane makeBackplane();
   void serve(const std::string& aPath,
              const QByteArray& aBody,
@@ -58,12 +58,11 @@
 
 template<Platform P>
 Result<void>
-GatewayDaemon<P>::start(Ended aEnded)
+GatewayDaemon<P>::start(const Ended& aEnded)
 {
-  BOOST_OUTCOME_TRY(
-    process,
-    EntryProcess::create(
-      mTimers, mSettings.entry, tableOf<typename P::Dialect>(), std::move(aEnded)));
+  BOOST_OUTCOME_TRY(process,
+                    EntryProcess::create(
+                      mTimers, mSettings.entry, tableOf<typename P::Dialect>(), aEnded));
   mProcess = std::move(process);
   auto& tables = mProcess->tables();
   mNotices =
--- a/libs/telemetry/tests/LineQueueTest.cpp
+++ b/libs/telemetry/tests/LineQueueTest.cpp
@@ -1,5 +1,6 @@
 #include <array>
 #include <catch2/catch.hpp>
+#include <core/Bytes.h>
 #include <fcntl.h>
 #include <telemetry/LineQueue.h>
 #include <unistd.h>
@@ -45,7 +46,7 @@
   std::array<int, 2> mFds{ -1, -1 };
 };
 
-constexpr std::size_t kMostBytes = 64 * 1024;
+constexpr std::size_t kMostBytes = 64 * kKiB;
 
 } // namespace
 
