List a gateway at its start, whoever feeds it

Cause: read in the code: a VM that a seed feeds before its first reading would cancel the reading and with it its listing. Today a VM that is not listed has no sources and so reads; one that is listed under an earlier address would stay there. Ruled out: a failing run: the new test passes before and after, since the first case heals itself. Change: listing has a timer of its own. GatewayTest: a gateway that is added lists itself.

--- a/libs/gateway/include/gateway/FollowerReading.h
+++ b/libs/gateway/include/gateway/FollowerReading.h
@@ -14,10 +14,9 @@
   search(0, mSources.size());
   searchLater();
   // Many VMs may start at the same moment.
-  mReadTimer = mTimers.subscribeIn(spread(kStartSpread), [this] {
-    announce();
-    read();
-  });
+  const auto delay = spread(kStartSpread);
+  mAnnounceTimer = mTimers.subscribeIn(delay, [this] { announce(); });
+  mReadTimer = mTimers.subscribeIn(delay, [this] { read(); });
 }
 
 template<Source S>
--- a/tests/harness/GatewaySystem.cpp
+++ b/tests/harness/GatewaySystem.cpp
@@ -76,6 +76,27 @@
     QStringList{ QStringLiteral("--settings"), settingsPath(aIndex) });
 }
 
+int
+GatewaySystem::addGateway()
+{
+  mGateways.emplace_back();
+  const auto index = static_cast<int>(mGateways.size()) - 1;
+  startGateway(index);
+  return index;
+}
+
+int
+GatewaySystem::listedGateways()
+{
+  const auto answer =
+    callOnce(host(kStoreHost),
+             kStorePort,
+             makeRequest("GET", "/log-newest?topic=keyed.members&part=0"),
+             5000);
+  return static_cast<int>(
+    QByteArray::fromStdString(answer.value_or(http::Response{}).body).count("\"key\""));
+}
+
 bool
 GatewaySystem::isReady(int aIndex)
 {
--- a/tests/harness/GatewaySystem.h
+++ b/tests/harness/GatewaySystem.h
@@ -24,6 +24,11 @@
   bool start();
 
   void startGateway(int aIndex);
+  /** Starts one more gateway; returns its index. */
+  int addGateway();
+
+  /** The gateways that are listed in the store. */
+  int listedGateways();
   ChildProcess& gateway(int aIndex) { return *mGateways[at(aIndex)]; }
   ChildProcess& upstream(int aIndex) { return *mUpstreams[at(aIndex)]; }
   bool isReady(int aIndex);
--- a/tests/integration/GatewayTest.cpp
+++ b/tests/integration/GatewayTest.cpp
@@ -126,6 +126,16 @@
   }
 }
 
+TEST_CASE("a gateway that is added lists itself, though a seed feeds it at once")
+{
+  GatewaySystem system(2, 1);
+  REQUIRE(system.start());
+  CHECK(waitUntil([&] { return system.listedGateways() == 2; }));
+  const auto added = system.addGateway();
+  CHECK(reachesStatus(system, added, "/read/1", 200));
+  CHECK(waitUntil([&] { return system.listedGateways() == 3; }));
+}
+
 TEST_CASE("entries that another writer spoilt are left out, the others hold")
 {
   GatewaySystem system(1, 2);
