Stop two VMs from asking each other without a pause, and a crash in a search

Cause, found in a loop of GatewayTest beside other tests (a start of four gateways that did not get ready): (1) a follower that knew more than its source asked for the whole list again at once, for as long as that held; (2) an answer to a search named its source by place, and the list of sources had become shorter meanwhile: the process ended by a segmentation fault. Ruled out: a cycle of sources (the order is total), a lost reading. Change: FeedCursor decides what the next request states; a search names its source. A preset that is not valid is remembered, else it would be asked for again at once.

--- a/libs/decide/src/SourceOrder.cpp
+++ b/libs/decide/src/SourceOrder.cpp
@@ -64,8 +64,8 @@
     ++order.depth;
   }
   for (std::size_t i = 0; i < aIndex && order.sources.size() < kMostSources; ++i) {
-    const bool isParent = std::any_of(
-      order.sources.begin(), order.sources.end(), [&](const Vm& aSource) {
+    const bool isParent =
+      std::any_of(order.sources.begin(), order.sources.end(), [&](const Vm& aSource) {
         return aSource.name == aVms[i].name;
       });
     if (!isParent) {
@@ -93,12 +93,10 @@
 const Vm&
 rootOf(const std::map<std::string, VmList>& aCentres)
 {
-  const auto it =
-    std::min_element(aCentres.begin(),
-                     aCentres.end(),
-                     [](const auto& aLeft, const auto& aRight) {
-                       return isBefore(aLeft.second.front(), aRight.second.front());
-                     });
+  const auto it = std::min_element(
+    aCentres.begin(), aCentres.end(), [](const auto& aLeft, const auto& aRight) {
+      return isBefore(aLeft.second.front(), aRight.second.front());
+    });
   return it->second.front();
 }
 
@@ -130,8 +128,8 @@
   const auto own = std::find_if(neighbours.begin(), neighbours.end(), [&](const Vm& aVm) {
     return aVm.name == aOwn.name;
   });
-  auto order = withinDataCentre(
-    neighbours, static_cast<std::size_t>(own - neighbours.begin()));
+  auto order =
+    withinDataCentre(neighbours, static_cast<std::size_t>(own - neighbours.begin()));
   order.depth += ofCentres.depth;
   return order;
 }
--- a/libs/gateway/include/gateway/Follower.h
+++ b/libs/gateway/include/gateway/Follower.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <algorithm>
+#include <decide/FeedCursor.h>
 #include <decide/SourceOrder.h>
 #include <decide/UpstreamHold.h>
 #include <entry/EntryTables.h>
@@ -68,7 +69,9 @@
   void take(const Feed& aFeed);
   void leave();
   void search();
-  void onFound(std::size_t aPlace, std::uint64_t aTurn, const Result<QByteArray>& aReply);
+  void onFound(const std::string& aVm,
+               std::uint64_t aTurn,
+               const Result<QByteArray>& aReply);
   void searchLater();
   void updateSources();
   void ask(const Vm& aVm, const FeedRequest& aHave, PeerClient::Callback aDone);
@@ -96,9 +99,10 @@
   FeedServer<Knowledge> mServer;
   SourceOrder mOrder;
   UpstreamHold mHold;
-  FeedRequest mHave;                 ///< of what the VM that is followed has told
+  FeedCursor mCursor;                ///< of the VM that is followed
   std::optional<std::size_t> mPlace; ///< of the VM that is followed, among the sources
   std::uint64_t mTurn = 0;           ///< rises when another source is followed
+  std::uint64_t mRejected = 0;       ///< version of the last preset that is not valid
   int mFailures = 0;                 ///< readings in a row
   bool mIsReading = false;
   bool mIsCalling = false; ///< a reading has not ended yet
--- a/libs/gateway/include/gateway/FollowerFeeds.h
+++ b/libs/gateway/include/gateway/FollowerFeeds.h
@@ -18,9 +18,11 @@
 Follower<S>::follow(std::size_t aPlace)
 {
   mPlace = aPlace;
-  mHave.version = mKnown.presetVersion();
   ask(mOrder.sources[aPlace],
-      mHave,
+      { std::max(mKnown.presetVersion(), mRejected),
+        mCursor.revision(),
+        mCursor.reading(),
+        true },
       [this, aPlace, turn = mTurn](const Result<QByteArray>& aReply) {
         onReply(aPlace, turn, aReply);
       });
@@ -65,7 +67,7 @@
 {
   ++mTurn;
   mPlace.reset();
-  mHave = {};
+  mCursor = {};
   takeOverLater();
   searchLater();
 }
@@ -79,11 +81,9 @@
   if (text != aFeed.sections.end()) {
     putPreset(aFeed.version, text->second);
   }
-  mHave.reading = aFeed.reading;
-  mHave.revision = aFeed.revision;
   // What was read earlier than what is known here would bring old entries back.
-  if (readAt + kReadPeriod < mKnown.readAt()) {
-    mHave.revision = 0;
+  const bool isOlder = readAt + kReadPeriod < mKnown.readAt();
+  if (!mCursor.take(aFeed.revision, aFeed.reading, aFeed.isVmsDelta, isOlder)) {
     return;
   }
   mKnown.noteRead(readAt);
@@ -107,16 +107,15 @@
     if (i != mPlace) {
       ask(mOrder.sources[i],
           { .mayWait = false },
-          [this, i, turn = mTurn](const Result<QByteArray>& aReply) {
-            onFound(i, turn, aReply);
-          });
+          [this, vm = mOrder.sources[i].name, turn = mTurn](
+            const Result<QByteArray>& aReply) { onFound(vm, turn, aReply); });
     }
   }
 }
 
 template<Source S>
 void
-Follower<S>::onFound(std::size_t aPlace,
+Follower<S>::onFound(const std::string& aVm,
                      std::uint64_t aTurn,
                      const Result<QByteArray>& aReply)
 {
@@ -133,9 +132,17 @@
   if (!isNewer && !isFresh(std::chrono::milliseconds(feed.value().ageMs))) {
     return;
   }
+  // The sources may have changed since it was asked.
+  const auto& sources = mOrder.sources;
+  const auto it = std::find_if(sources.begin(), sources.end(), [&](const Vm& aSource) {
+    return aSource.name == aVm;
+  });
+  if (it == sources.end()) {
+    return;
+  }
   ++mTurn;
-  mHave = {};
-  follow(aPlace);
+  mCursor = {};
+  follow(static_cast<std::size_t>(it - sources.begin()));
   searchLater();
 }
 
@@ -173,7 +180,7 @@
     return;
   }
   ++mTurn;
-  mHave = {};
+  mCursor = {};
   mPlace.reset();
   if (mOrder.sources.empty()) {
     startReading();
--- a/libs/gateway/include/gateway/FollowerReading.h
+++ b/libs/gateway/include/gateway/FollowerReading.h
@@ -118,8 +118,7 @@
     }
   } else {
     if (std::exchange(mFailures, 0) > 0) {
-      logEvent(LogEvent::SourceReachable,
-               { { "age_ms", toMilliseconds(mKnown.age()) } });
+      logEvent(LogEvent::SourceReachable, { { "age_ms", toMilliseconds(mKnown.age()) } });
     }
     const auto& reading = aReading.value();
     auto vms = mHold.mergeRead(mTables.membership.current(),
@@ -151,13 +150,14 @@
 void
 Follower<S>::putPreset(std::uint64_t aVersion, const std::string& aText)
 {
-  if (aVersion <= mKnown.presetVersion()) {
+  if (aVersion <= std::max(mKnown.presetVersion(), mRejected)) {
     return;
   }
   auto preset = mSource.decodePreset(aText);
   if (preset.has_error()) {
     logEvent(LogEvent::PresetInvalid,
              { { "version", aVersion }, { "error", preset.error().message() } });
+    mRejected = aVersion;
     return;
   }
   mKnown.putPreset(aVersion, aText);
--- a/libs/gateway/include/gateway/GatewaySettings.h
+++ b/libs/gateway/include/gateway/GatewaySettings.h
@@ -15,7 +15,7 @@
   std::string sourceHost;     ///< an IP number
   std::uint16_t sourcePort = 0;
   int capacity = 0; ///< hundredths of a core that the process may use
-  VmList seeds;                                ///< VMs that may run already
+  VmList seeds;     ///< VMs that may run already
   std::map<std::string, std::string> regionOf; ///< by data centre
   double retryShare = 0.2;       ///< retries over calls of a service, of all VMs together
   double probesPerSecond = 60.0; ///< for each upstream, from all VMs together
