Count hosts of unknown speed as usual ones, and ask with the whole probe budget

Ruled out: answers of upstreams that came too late to be waited for (sent_ms=0). Change: a running mean of reported speeds stands for what is not known; queries are divided by the entries as listed. A test fails first.

--- a/libs/decide/include/decide/EstimatedLatency.h
+++ b/libs/decide/include/decide/EstimatedLatency.h
@@ -8,12 +8,14 @@
 
 /**
  * Scores by the latency to expect, in seconds: the service's typical work, stretched by
- * the host's present speed and by crowding, the wait for a slot, and the distance.
+ * the host's present speed and by crowding, the wait for a slot, and the distance. A host
+ * whose speed is not known counts as one of usual speed.
  */
 struct EstimatedLatency
 {
   const Locality& locality;
-  Duration typicalWork; ///< of a call in the service, without a wait
+  Duration typicalWork; ///< of a call in the service at usual speed, without a wait
+  double usualPercent = 100.0; ///< mean of what hosts report, as LoadReport::workPercent
 
   LatencyEstimate estimate(const UpstreamState& aState, Instant aNow) const;
 
--- a/libs/decide/include/decide/MembershipHistory.h
+++ b/libs/decide/include/decide/MembershipHistory.h
@@ -9,8 +9,9 @@
 namespace masticwall {
 
 /**
- * The revisions of a list of VMs, so that those who have an earlier one are told only what
- * has changed since. Bounded: what was removed long ago is forgotten. Not thread-safe.
+ * The revisions of a list of VMs, so that those who have an earlier one are told only
+ * what has changed since. Bounded: what was removed long ago is forgotten. Not
+ * thread-safe.
  */
 class MembershipHistory
 {
--- a/libs/decide/include/decide/SourceOrder.h
+++ b/libs/decide/include/decide/SourceOrder.h
@@ -16,9 +16,9 @@
 
 /**
  * The place of `aOwn` in the tree by which news spreads. The VMs of a data centre form a
- * tree of bounded fan-out, the strongest nearest to its root and equals by a hash of their
- * names. The roots of a region are fed by the first of them, and these by the first of
- * all, which reads the source: so one VM reads, and one copy of a change crosses each
+ * tree of bounded fan-out, the strongest nearest to its root and equals by a hash of
+ * their names. The roots of a region are fed by the first of them, and these by the first
+ * of all, which reads the source: so one VM reads, and one copy of a change crosses each
  * link, whatever the number of VMs. A VM that `aOwn` may feed is never among its sources.
  */
 SourceOrder
--- a/libs/decide/include/decide/UpstreamPool.h
+++ b/libs/decide/include/decide/UpstreamPool.h
@@ -62,7 +62,7 @@
                                      R& aRandom)
   {
     const auto candidates = eligible({}, aMaxInFlight, aExcluded, aNow);
-    const EstimatedLatency score{ aLocality, typicalWork() };
+    const EstimatedLatency score{ aLocality, typicalWork(), mUsualPercent };
     std::uniform_real_distribution<double> blur(1.0, kBlur);
     UpstreamState* best = nullptr;
     auto bestScore = std::numeric_limits<double>::max();
@@ -105,7 +105,7 @@
                                                R& aRandom)
   {
     const auto candidates = eligible({}, aMaxInFlight, aExcluded, aNow);
-    const EstimatedLatency score{ aLocality, typicalWork() };
+    const EstimatedLatency score{ aLocality, typicalWork(), mUsualPercent };
     std::uniform_real_distribution<double> blur(1.0, kBlur);
     std::vector<std::pair<double, UpstreamState*>> ranked;
     ranked.reserve(candidates.size());
@@ -187,6 +187,7 @@
   std::vector<std::unique_ptr<UpstreamState>> mStates;
   std::vector<UpstreamAddress> mLeaving; ///< instances that said so
   Duration mTypicalLatency{ 0 };         ///< median of the upstreams' means
+  double mUsualPercent = 100.0;          ///< running mean of reported speeds
 };
 
 } // namespace masticwall
--- a/libs/decide/src/EstimatedLatency.cpp
+++ b/libs/decide/src/EstimatedLatency.cpp
@@ -18,7 +18,6 @@
 
 /** How much longer a cold upstream takes. */
 constexpr double kColdFactor = 2.0;
-constexpr double kUsualPercent = 100.0;
 
 double
 weightAfter(Duration aAge, Duration aHalfLife)
@@ -54,8 +53,8 @@
 {
   const auto load = expectedLoad(aState, aNow);
   const auto speedWeight = weightAfter(aNow - aState.load.at, kSpeedHalfLife);
-  auto work = Seconds(typicalWork).count() *
-              (1.0 + speedWeight * (aState.load.workPercent / kUsualPercent - 1.0));
+  const auto slowness = aState.load.workPercent / usualPercent;
+  auto work = Seconds(typicalWork).count() * (1.0 + speedWeight * (slowness - 1.0));
   work *= aState.address.isCold ? kColdFactor : 1.0;
   work *= load > kCrowdedShare ? kCrowdedFactor : 1.0;
   const auto wait = std::max(0.0, load - 1.0) * work;
--- a/libs/decide/src/UpstreamPool.cpp
+++ b/libs/decide/src/UpstreamPool.cpp
@@ -11,7 +11,8 @@
 constexpr Duration kColdPeriod = std::chrono::seconds(2);
 constexpr int kLatencyWeight = 8; ///< one answer weighs 1/8 in the mean
 constexpr int kMaxDoublings = 6;
-constexpr int kLoadWeight = 4; ///< one report weighs 1/4 in the mean load
+constexpr int kLoadWeight = 4;              ///< one report weighs 1/4 in the mean load
+constexpr double kSpeedWeight = 1.0 / 32.0; ///< of one report in the usual speed
 constexpr Duration kAssumedWork = std::chrono::milliseconds(100);
 
 /** An upstream is slow if its mean latency is so many times the median of all. */
@@ -126,6 +127,7 @@
     state->slots = aLoad.slots > 0 ? aLoad.slots : state->slots;
     const auto load = static_cast<double>(aLoad.inUse + aLoad.queued) / state->slots;
     state->meanLoad += (load - state->meanLoad) / kLoadWeight;
+    mUsualPercent += kSpeedWeight * (aLoad.workPercent - mUsualPercent);
   }
 }
 
--- a/libs/decide/tests/EstimatedLatencyTest.cpp
+++ b/libs/decide/tests/EstimatedLatencyTest.cpp
@@ -87,6 +87,19 @@
   CHECK(choose() == "near-1");
 }
 
+TEST_CASE_METHOD(Fixture, "a host known to be fast goes before one that is not known")
+{
+  // A third of the hosts is slow at any moment; what is not known may be one of them.
+  for (int i = 0; i < 60; ++i) {
+    report("next", 0, 0, i % 3 == 0 ? 400 : 100);
+  }
+  for (int i = 0; i < 20; ++i) {
+    report("near-1", 1, 0, 100);
+    CHECK(choose() == "near-1");
+    pool().finished("near-1", CallEnd::Cancelled, {}, time().now());
+  }
+}
+
 TEST_CASE_METHOD(Fixture, "farther upstreams are taken when the near ones are crowded")
 {
   CHECK(choose().starts_with("near"));
--- a/libs/decide/tests/MembershipHistoryTest.cpp
+++ b/libs/decide/tests/MembershipHistoryTest.cpp
@@ -58,7 +58,8 @@
   CHECK(delta->changed == VmList{ upstream("a") });
 }
 
-TEST_CASE("a revision of another process, or one whose removals are forgotten, is unknown")
+TEST_CASE(
+  "a revision of another process, or one whose removals are forgotten, is unknown")
 {
   MembershipHistory history(kFirst);
   history.update({ upstream("a") });
--- a/libs/entry/src/EntryWorker.cpp
+++ b/libs/entry/src/EntryWorker.cpp
@@ -68,7 +68,9 @@
   const int sharers = entries * workers * (limits.areShared ? kMembershipMargin : 1);
   mBack.setConnectionsPerUpstream(
     std::max(kFewestConnections, limits.connectionsPerUpstream / (entries * workers)));
-  const auto asked = preset->measuring.probesPerSecond * mTables.upstreamCount / sharers;
+  // Without the margin: the budget holds over a day, not over each moment.
+  const auto asked =
+    preset->measuring.probesPerSecond * mTables.upstreamCount / (entries * workers);
   if (mLoadQueries.has_value()) {
     mLoadQueries->configure(asked, asked);
   } else {
