Serve latency histograms and counters by a library; read changed settings without a signal

Cause: the metrics page had counts and one percentile by rank, written by hand; nothing told of services, stages, the source, feeds or retries. Ruled out: Boost.Accumulators for these, whose percentiles can't be added up over VMs; they stay in the state dump. Change: prometheus-cpp holds counters by rank, result, service and cause, histograms by route and stage (bounded to 256 names) and gauges of ages and connections. The settings file's time of change is looked at once a second; the preset in force is decoded anew. Tests: MetricsTest, and two cases of GatewayTest on real processes.

--- a/libs/entry/include/entry/Backplane.h
+++ b/libs/entry/include/entry/Backplane.h
@@ -38,6 +38,9 @@
   std::function<void(const Suspect&, std::function<void()>)> reportSuspect;
 
   std::function<bool()> isConnected;
+
+  /** How long ago the source of the configuration was read. */
+  std::function<Duration()> sourceAge;
 };
 
 } // namespace masticwall
--- a/libs/entry/include/entry/EntryTables.h
+++ b/libs/entry/include/entry/EntryTables.h
@@ -12,6 +12,7 @@
 #include <tables/SuspectTable.h>
 #include <tables/UpstreamTable.h>
 #include <telemetry/CallStatistics.h>
+#include <telemetry/Metrics.h>
 
 namespace masticwall {
 
@@ -38,6 +39,7 @@
   OrderTable<http::Response> orders{ kMostAnswerBytes };
   SuspectTable suspects;
   CallStatistics statistics;
+  Metrics metrics;
   std::vector<WorkerGauges> gauges; ///< by worker
   std::atomic<std::uint64_t> nextClaim{ 1 };
   std::atomic<int> entryCount{ 1 };    ///< entry processes that are listed, this one too
--- a/libs/entry/src/EntryProcess.cpp
+++ b/libs/entry/src/EntryProcess.cpp
@@ -1,6 +1,7 @@
 #include "EntryHub.h"
 #include "EntryWorker.h"
 #include "MembershipIntake.h"
+#include "ProcessGauges.h"
 #include "StateDump.h"
 #include <entry/EntryProcess.h>
 #include <random>
@@ -134,7 +135,10 @@
   pages.state = [this] {
     return dumpState(tables, hub.backplane.isConnected && hub.backplane.isConnected());
   };
-  pages.metrics = [this] { return tables.statistics.toMetrics(); };
+  pages.metrics = [this] {
+    setGauges(tables, hub.backplane);
+    return tables.metrics.toText();
+  };
   pages.isReady = [this] {
     return !tables.isLeaving && tables.presets.current() != nullptr;
   };
--- a/libs/entry/src/EntryWorkerAsking.cpp
+++ b/libs/entry/src/EntryWorkerAsking.cpp
@@ -45,7 +45,11 @@
   const auto stale = mTables.upstreams.staleFavourites(
     queryOf(aCall), static_cast<std::size_t>(n), kFreshFor, now);
   const auto cost = static_cast<double>(stale.size());
-  if (stale.empty() || !mLoadQueries->take(cost, now)) {
+  const bool isPaid = stale.empty() || mLoadQueries->take(cost, now);
+  if (!isPaid) {
+    mTables.metrics.count(Counter::LoadQueries, "over-budget");
+  }
+  if (stale.empty() || !isPaid) {
     send(aCall);
     return;
   }
@@ -83,6 +87,7 @@
                     const http::BackResult& aResult)
 {
   const auto now = mTimers.now();
+  mTables.metrics.count(Counter::LoadQueries, aResult.error ? "failed" : "answered");
   if (aResult.error) {
     mTables.upstreams.reportUnreachable(aUpstream, now);
   } else if (const auto signs = mHub.dialect.readSigns(aResult.response, now);
--- a/libs/entry/src/EntryWorkerEnding.cpp
+++ b/libs/entry/src/EntryWorkerEnding.cpp
@@ -23,6 +23,24 @@
   return n;
 }
 
+EndedCall
+measure(const Call& aCall, Outcome aOutcome, std::string_view aReason, Instant aNow)
+{
+  EndedCall ended;
+  ended.rank = aCall.route->rank;
+  ended.outcome = aOutcome;
+  ended.reason = aReason;
+  ended.route = aCall.route->name;
+  ended.service = aCall.service;
+  ended.total = aNow - aCall.arrivedAt;
+  if (!aCall.history.empty()) {
+    const auto& last = aCall.history.back();
+    ended.queued = aCall.history.front().sentAt - aCall.arrivedAt;
+    ended.upstream = (last.endedAt == Instant{} ? aNow : last.endedAt) - last.sentAt;
+  }
+  return ended;
+}
+
 } // namespace
 
 void
@@ -187,6 +205,7 @@
   logStory(aCall, aOutcome, aReason, mTimers.now());
   mTables.statistics.add(
     aCall.route->rank, aOutcome, std::string(aReason), mTimers.now() - aCall.arrivedAt);
+  mTables.metrics.add(measure(aCall, aOutcome, aReason, mTimers.now()));
   const auto responder = std::move(aCall.responder);
   responder->respond(std::move(aResponse));
 }
--- a/libs/entry/src/EntryWorkerSending.cpp
+++ b/libs/entry/src/EntryWorkerSending.cpp
@@ -228,9 +228,14 @@
 {
   const bool isInTime =
     aCall.stage == CallStage::Sending && mTimers.now() < aCall.deadline;
-  return !(aCall.isOrder() && aCall.isSent) && isInTime &&
-         aCall.attempts < aCall.route->attempts &&
-         mRetryBudget.take(aCall.service, mTimers.now());
+  const bool mayRepeat = !(aCall.isOrder() && aCall.isSent) && isInTime &&
+                         aCall.attempts < aCall.route->attempts;
+  if (!mayRepeat) {
+    return false;
+  }
+  const bool isPaid = mRetryBudget.take(aCall.service, mTimers.now());
+  mTables.metrics.count(Counter::Retries, isPaid ? "sent" : "over-budget");
+  return isPaid;
 }
 
 void
--- a/libs/gateway/include/gateway/Follower.h
+++ b/libs/gateway/include/gateway/Follower.h
@@ -54,9 +54,15 @@
     mServer.serve(aHave, std::move(aReply));
   }
 
+  /** Decodes the preset in force anew: the source's budgets have changed. */
+  void onBudgets();
+
   /** True if what is known was read lately, here or by the VM that told. */
   bool isFresh() const { return isFresh(mKnown.age()); }
 
+  /** How long ago the source was read, here or by the VM that told. */
+  Duration age() const { return mKnown.age(); }
+
 private:
   bool isFresh(Duration aAge) const
   {
--- a/libs/gateway/include/gateway/FollowerFeeds.h
+++ b/libs/gateway/include/gateway/FollowerFeeds.h
@@ -39,6 +39,7 @@
   }
   const auto feed =
     aReply.has_value() ? decodeFeed(aReply.value()) : Result<Feed>(aReply.error());
+  mTables.metrics.count(Counter::Feeds, feed.has_error() ? feed.error().message() : "ok");
   if (feed.has_error()) {
     logEvent(LogEvent::FeedLost,
              { { "vm", mOrder.sources[aPlace].name },
--- a/libs/gateway/include/gateway/FollowerReading.h
+++ b/libs/gateway/include/gateway/FollowerReading.h
@@ -110,6 +110,8 @@
 Follower<S>::onReading(const Result<SourceReading>& aReading)
 {
   const auto now = mTimers.now();
+  mTables.metrics.count(Counter::SourceReadings,
+                        aReading.has_error() ? aReading.error().message() : "ok");
   if (aReading.has_error()) {
     if (++mFailures == 1) {
       logEvent(LogEvent::SourceUnreachable,
@@ -170,6 +172,21 @@
   }
 }
 
+template<Source S>
+void
+Follower<S>::onBudgets()
+{
+  auto preset = mSource.decodePreset(mKnown.presetText());
+  if (mKnown.presetVersion() == 0 || preset.has_error()) {
+    return; // the next preset will have them
+  }
+  auto shared = std::make_shared<Preset>(std::move(preset.value()));
+  shared->version = mKnown.presetVersion();
+  if (mTables.presets.amend(shared)) {
+    mOnChange();
+  }
+}
+
 template<Source S>
 void
 Follower<S>::putVms(VmList aVms)
--- a/libs/gateway/include/gateway/GatewayDaemon.h
+++ b/libs/gateway/include/gateway/GatewayDaemon.h
@@ -2,11 +2,15 @@
 
 #include <entry/EntryProcess.h>
 #include <feed/PeerNotices.h>
+#include <filesystem>
 #include <gateway/Follower.h>
 #include <gateway/Platform.h>
 
 namespace masticwall {
 
+/** How often the settings file is looked at: it may change without a signal. */
+inline constexpr Duration kSettingsCheckPeriod = std::chrono::seconds(1);
+
 /**
  * A whole VM of masticwall in one process: an entry and the follower that feeds it. Made
  * and used on the main thread, which must run a Qt event loop.
@@ -44,6 +48,7 @@
   void serve(const std::string& aPath,
              const QByteArray& aBody,
              const PeerServer::Reply& aReply);
+  void checkSettings();
   void onSuspect(const QByteArray& aBody, const PeerServer::Reply& aReply);
   Vm ownVm() const;
 
@@ -54,6 +59,8 @@
   std::unique_ptr<PeerNotices> mNotices;
   std::unique_ptr<Follower<typename P::Source>> mFollower;
   std::unique_ptr<PeerServer> mServer;
+  std::filesystem::file_time_type mSettingsChangedAt;
+  TimerSubscription mSettingsTimer;
 };
 
 template<Platform P>
@@ -81,6 +88,10 @@
              const PeerServer::Reply& aReply) { serve(aPath, aBody, aReply); }));
   mServer = std::move(server);
   mFollower->start(mSettings.seeds);
+  std::error_code ec;
+  mSettingsChangedAt = std::filesystem::last_write_time(mSettings.path, ec);
+  mSettingsTimer =
+    mTimers.subscribeEvery(kSettingsCheckPeriod, [this] { checkSettings(); });
   return success();
 }
 
@@ -114,6 +125,7 @@
     aDone();
   };
   backplane.isConnected = [this] { return mFollower->isFresh(); };
+  backplane.sourceAge = [this] { return mFollower->age(); };
   return backplane;
 }
 
@@ -157,13 +169,26 @@
 void
 GatewayDaemon<P>::reload()
 {
-  const auto settings = P::readSettings();
+  const auto settings = P::readSettings(mSettings.path);
   if (settings.has_error()) {
     logEvent(LogEvent::SettingsWrong, { { "error", settings.error().message() } });
     return;
   }
   mSource.setBudgets(settings.value());
+  mFollower->onBudgets();
   logEvent(LogEvent::Reloaded);
 }
 
+template<Platform P>
+void
+GatewayDaemon<P>::checkSettings()
+{
+  std::error_code ec;
+  const auto changedAt = std::filesystem::last_write_time(mSettings.path, ec);
+  // A file that is being replaced may be missing for a moment; the settings hold.
+  if (!ec && changedAt != std::exchange(mSettingsChangedAt, changedAt)) {
+    reload();
+  }
+}
+
 } // namespace masticwall
--- a/libs/gateway/include/gateway/GatewaySettings.h
+++ b/libs/gateway/include/gateway/GatewaySettings.h
@@ -11,6 +11,7 @@
 struct GatewaySettings
 {
   EntrySettings entry;
+  std::string path;           ///< of the file that they were read from
   std::uint16_t peerPort = 0; ///< for the gateways of other VMs
   std::string sourceHost;     ///< an IP number
   std::uint16_t sourcePort = 0;
--- a/libs/gateway/include/gateway/Knowledge.h
+++ b/libs/gateway/include/gateway/Knowledge.h
@@ -30,6 +30,7 @@
   void noteRead(Instant aTime);
 
   std::uint64_t presetVersion() const { return mPresetVersion; }
+  const std::string& presetText() const { return mPresetText; }
   Instant readAt() const { return mReadAt; }
 
   /** True until a reading of the source is known. */
--- a/libs/gateway/include/gateway/Platform.h
+++ b/libs/gateway/include/gateway/Platform.h
@@ -3,7 +3,6 @@
 #include <entry/Dialect.h>
 #include <gateway/GatewaySettings.h>
 #include <gateway/Source.h>
-#include <settings/SettingsParse.h>
 
 namespace masticwall {
 
@@ -11,10 +10,11 @@
  */
 template<class P>
 concept Platform = Dialect<typename P::Dialect> && Source<typename P::Source> &&
-  std::constructible_from<typename P::Source, const GatewaySettings&> && requires
+  std::constructible_from<typename P::Source, const GatewaySettings&> &&
+  requires(const std::string& aPath)
 {
   {
-    P::readSettings()
+    P::readSettings(aPath)
     } -> std::same_as<Result<GatewaySettings>>;
 };
 
--- a/libs/tables/include/tables/PresetTable.h
+++ b/libs/tables/include/tables/PresetTable.h
@@ -28,6 +28,17 @@
     return true;
   }
 
+  /** Replaces the preset in force by one of the same version; false if it is another. */
+  bool amend(std::shared_ptr<const Preset> aPreset)
+  {
+    std::scoped_lock lock(mMutex);
+    if (mPreset == nullptr || aPreset->version != mPreset->version) {
+      return false;
+    }
+    mPreset = std::move(aPreset);
+    return true;
+  }
+
 private:
   mutable OrderedMutex mMutex{ LockLevel::Preset };
   std::shared_ptr<const Preset> mPreset;
--- a/libs/telemetry/include/telemetry/CallStatistics.h
+++ b/libs/telemetry/include/telemetry/CallStatistics.h
@@ -20,9 +20,6 @@
   /** Latencies in microseconds, from the call's arrival to its answer. */
   QJsonObject toJson() const;
 
-  /** The same in the usual text format of metrics. */
-  std::string toMetrics() const;
-
 private:
   struct PerRank
   {
--- a/libs/telemetry/include/telemetry/EventLog.h
+++ b/libs/telemetry/include/telemetry/EventLog.h
@@ -19,6 +19,10 @@
 void
 logEvent(LogEvent aEvent, std::initializer_list<LogField> aFields = {});
 
+/** Lines left out so far because their event was too frequent. */
+std::uint64_t
+leftOutLogLines();
+
 /** The value as it stands on a line: quoted and escaped where needed. */
 std::string
 escapeLogValue(std::string_view aValue);
--- a/libs/telemetry/src/CallStatistics.cpp
+++ b/libs/telemetry/src/CallStatistics.cpp
@@ -57,24 +57,4 @@
   return ranks;
 }
 
-std::string
-CallStatistics::toMetrics() const
-{
-  std::scoped_lock lock(mMutex);
-  std::string text = "# TYPE masticwall_calls_total counter\n";
-  for (const auto& it : EnumTable<Rank>::kEntries) {
-    for (const auto& [label, n] : mRanks[indexOf(it.value)].counts) {
-      text += "masticwall_calls_total{rank=\"" + std::string(it.name) + "\",result=\"" +
-              label + "\"} " + std::to_string(n) + "\n";
-    }
-  }
-  text += "# TYPE masticwall_call_p99_microseconds gauge\n";
-  for (const auto& it : EnumTable<Rank>::kEntries) {
-    const auto p99 = mRanks[indexOf(it.value)].latency.p99();
-    text += "masticwall_call_p99_microseconds{rank=\"" + std::string(it.name) + "\"} " +
-            std::to_string(toMicroseconds(p99)) + "\n";
-  }
-  return text;
-}
-
 } // namespace masticwall
--- a/libs/telemetry/src/EventLog.cpp
+++ b/libs/telemetry/src/EventLog.cpp
@@ -28,6 +28,7 @@
 
 OrderedMutex sMutex{ LockLevel::Mailbox };
 std::array<EventRate, EnumTable<LogEvent>::kEntries.size()> sRates;
+std::uint64_t sLeftOut = 0; ///< over all events and seconds
 
 /** True if a line may be written; `aLeftOut` is what the last second left out. */
 bool
@@ -42,6 +43,7 @@
   }
   if (rate.lines >= kLinesPerSecond) {
     ++rate.leftOut;
+    ++sLeftOut;
     return false;
   }
   ++rate.lines;
@@ -94,6 +96,13 @@
   LOG4CPLUS_INFO(logger, line);
 }
 
+std::uint64_t
+leftOutLogLines()
+{
+  std::scoped_lock lock(sMutex);
+  return sLeftOut;
+}
+
 std::string
 escapeLogValue(std::string_view aValue)
 {
--- /dev/null
+++ b/libs/telemetry/src/Metrics.cpp
@@ -0,0 +1,127 @@
+#include <core/OrderedMutex.h>
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+#include <set>
+#include <telemetry/Metrics.h>
+
+namespace masticwall {
+
+namespace {
+
+/** Routes or services with series of their own: some 4 MB of memory at most. */
+constexpr std::size_t kMostNames = 256;
+
+/** Upper bounds in seconds; targets and timeouts lie between 0.1 and 8 s. */
+const prometheus::Histogram::BucketBoundaries kBounds{ 0.001, 0.005, 0.02, 0.05, 0.1,
+                                                       0.2,   0.4,   0.8,  1.6,  4.0 };
+
+double
+toSeconds(Duration aDuration)
+{
+  return std::chrono::duration<double>(aDuration).count();
+}
+
+/** The names that have series of their own. Thread-safe. */
+class NameLimit
+{
+public:
+  std::string admit(const std::string& aName)
+  {
+    std::scoped_lock lock(mMutex);
+    if (mNames.count(aName) == 0 && mNames.size() >= kMostNames) {
+      return "other";
+    }
+    return *mNames.insert(aName).first;
+  }
+
+private:
+  OrderedMutex mMutex{ LockLevel::Statistics };
+  std::set<std::string> mNames;
+};
+
+} // namespace
+
+struct Metrics::Impl
+{
+  prometheus::Registry registry;
+  prometheus::Family<prometheus::Counter>& calls =
+    prometheus::BuildCounter()
+      .Name("masticwall_calls_total")
+      .Help("Calls that have ended, by rank and result.")
+      .Register(registry);
+  prometheus::Family<prometheus::Counter>& serviceCalls =
+    prometheus::BuildCounter()
+      .Name("masticwall_service_calls_total")
+      .Help("Calls that have ended, by service and outcome.")
+      .Register(registry);
+  prometheus::Family<prometheus::Histogram>& seconds =
+    prometheus::BuildHistogram()
+      .Name("masticwall_call_seconds")
+      .Help("Time of calls by route: until sent, at the upstream, in all.")
+      .Register(registry);
+  NameLimit routes;
+  NameLimit services;
+
+  void observe(const std::string& aRoute, const char* aStage, Duration aTime)
+  {
+    seconds.Add({ { "route", aRoute }, { "stage", aStage } }, kBounds)
+      .Observe(toSeconds(aTime));
+  }
+};
+
+Metrics::Metrics()
+  : mImpl(std::make_unique<Impl>())
+{
+}
+
+Metrics::~Metrics() = default;
+
+void
+Metrics::add(const EndedCall& aCall)
+{
+  const std::string rank(nameOf(aCall.rank));
+  const std::string outcome(nameOf(aCall.outcome));
+  const auto result = aCall.reason.empty() ? outcome : outcome + ':' + aCall.reason;
+  mImpl->calls.Add({ { "rank", rank }, { "result", result } }).Increment();
+  const auto service = mImpl->services.admit(aCall.service);
+  mImpl->serviceCalls.Add({ { "service", service }, { "outcome", outcome } }).Increment();
+  const auto route = mImpl->routes.admit(aCall.route);
+  mImpl->observe(route, "total", aCall.total);
+  if (aCall.queued.has_value()) {
+    mImpl->observe(route, "queue", *aCall.queued);
+  }
+  if (aCall.upstream.has_value()) {
+    mImpl->observe(route, "upstream", *aCall.upstream);
+  }
+}
+
+void
+Metrics::count(Counter aCounter, const std::string& aResult)
+{
+  prometheus::BuildCounter()
+    .Name(std::string(nameOf(aCounter)))
+    .Register(mImpl->registry)
+    .Add({ { "result", aResult } })
+    .Increment();
+}
+
+void
+Metrics::set(Gauge aGauge, double aValue)
+{
+  prometheus::BuildGauge()
+    .Name(std::string(nameOf(aGauge)))
+    .Register(mImpl->registry)
+    .Add({})
+    .Set(aValue);
+}
+
+std::string
+Metrics::toText() const
+{
+  return prometheus::TextSerializer().Serialize(mImpl->registry.Collect());
+}
+
+} // namespace masticwall
--- a/tests/harness/GatewaySystem.cpp
+++ b/tests/harness/GatewaySystem.cpp
@@ -105,6 +105,14 @@
   return answer.has_value() && answer->status == 200;
 }
 
+std::string
+GatewaySystem::metrics(int aIndex)
+{
+  const auto answer = callOnce(
+    host(kFirstGateway + aIndex), kReadyPort, makeRequest("GET", "/metrics"), 1000);
+  return answer.value_or(http::Response{}).body;
+}
+
 void
 GatewaySystem::writeConfig(int aVersion)
 {
@@ -226,7 +234,22 @@
 }
 
 void
-GatewaySystem::writeSettings(int aIndex) const
+GatewaySystem::changeSettings(int aIndex, double aRetryShare)
+{
+  writeSettings(aIndex, aRetryShare);
+}
+
+void
+GatewaySystem::spoilSettings(int aIndex)
+{
+  QFile file(settingsPath(aIndex));
+  if (file.open(QIODevice::WriteOnly)) {
+    file.write("[self");
+  }
+}
+
+void
+GatewaySystem::writeSettings(int aIndex, double aRetryShare) const
 {
   const auto ip = host(kFirstGateway + aIndex).toString();
   const auto store = host(kStoreHost).toString();
@@ -241,13 +264,15 @@
                             "front = \"%2:%5\"\nready = \"%2:%7\"\ncontrol = \"%2:%6\"\n"
                             "[network.zones]\nrecife = \"litoral\"\n"
                             "[platform.platform]\naddress = \"%3:%8\"\n"
-                            "[terms.bounds]\ngrace = \"6s\"\n")
+                            "[terms.bounds]\ngrace = \"6s\"\n"
+                            "retry-budget-ratio = %9\n")
                .arg(aIndex)
                .arg(ip, store, seed)
                .arg(kFrontPort)
                .arg(kPeerPort)
                .arg(kReadyPort)
                .arg(kStorePort)
+               .arg(aRetryShare)
                .toUtf8());
 }
 
--- a/tests/harness/GatewaySystem.h
+++ b/tests/harness/GatewaySystem.h
@@ -32,6 +32,11 @@
   ChildProcess& gateway(int aIndex) { return *mGateways[at(aIndex)]; }
   ChildProcess& upstream(int aIndex) { return *mUpstreams[at(aIndex)]; }
   bool isReady(int aIndex);
+  std::string metrics(int aIndex);
+
+  /** Writes a gateway's settings file with other budgets, or with no content at all. */
+  void changeSettings(int aIndex, double aRetryShare);
+  void spoilSettings(int aIndex);
 
   /** Writes a configuration: "/read/" is safe, "/order/" is not, and "/vN/" its version.
    */
@@ -65,7 +70,7 @@
 private:
   static std::size_t at(int aIndex) { return static_cast<std::size_t>(aIndex); }
   QString settingsPath(int aIndex) const;
-  void writeSettings(int aIndex) const;
+  void writeSettings(int aIndex, double aRetryShare = 0.2) const;
   QStringList upstreamArguments(int aIndex) const;
   http::Response post(const QHostAddress& aHost,
                       quint16 aPort,
--- a/tests/integration/GatewayTest.cpp
+++ b/tests/integration/GatewayTest.cpp
@@ -208,6 +208,50 @@
   CHECK(statusOf(system.call(1, "GET", "/read/1", "other")) == 200);
 }
 
+TEST_CASE("settings that change are read again without a signal, spoilt ones do no harm")
+{
+  GatewaySystem system(1, 1);
+  REQUIRE(system.start());
+  QString log;
+  const auto hasLogged = [&](const char* aEvent, int aTimes) {
+    return waitUntil([&] {
+      log += system.gateway(0).standardOutput();
+      return log.count(text(aEvent)) >= aTimes;
+    });
+  };
+  system.changeSettings(0, 0.5);
+  CHECK(hasLogged("event=reloaded", 1));
+  system.spoilSettings(0);
+  CHECK(hasLogged("event=settings-wrong", 1));
+  CHECK(statusOf(system.call(0, "GET", "/read/1", "after")) == 200);
+  system.changeSettings(0, 0.25);
+  CHECK(hasLogged("event=reloaded", 2));
+}
+
+TEST_CASE("the metrics page tells of calls, stages, readings, feeds and ages")
+{
+  GatewaySystem system(2, 2);
+  REQUIRE(system.start());
+  CHECK(statusOf(system.call(0, "GET", "/read/1", "measured")) == 200);
+  CHECK(statusOf(system.call(0, "GET", "/read/2", "measured")) == 200);
+  const auto shows = [&](int aGateway, const char* aName) {
+    return system.metrics(aGateway).find(aName) != std::string::npos;
+  };
+  for (const auto* const it :
+       { R"(masticwall_calls_total{rank="standard",result="answered"})",
+         R"(masticwall_service_calls_total{outcome="answered",service="lookup"})",
+         R"(masticwall_call_seconds_count{route="r/read/",stage="upstream"})",
+         "masticwall_preset_version 1",
+         "masticwall_upstreams 2",
+         "masticwall_source_age_seconds 0." }) {
+    CHECK(shows(0, it));
+  }
+  const char* const kReading = R"(masticwall_source_readings_total{result="ok"})";
+  const char* const kFeed = R"(masticwall_feeds_total{result="ok"})";
+  CHECK(waitUntil([&] { return shows(0, kFeed) || shows(1, kFeed); }));
+  CHECK((shows(0, kReading) || shows(1, kReading)));
+}
+
 TEST_CASE("a refused request is explained by its id: no upstream could answer in time")
 {
   GatewaySystem system(2, 1);
