--- a/tests/integration/GatewayTest.cpp
+++ b/tests/integration/GatewayTest.cpp
@@ -1,5 +1,6 @@
 #include "GatewaySystem.h"
 #include "Wait.h"
+#include <QRegularExpression>
 #include <catch2/catch.hpp>
 #include <csignal>
 
@@ -252,6 +253,49 @@
   CHECK((shows(0, kReading) || shows(1, kReading)));
 }
 
+TEST_CASE(
+  "a flood of 100,000 refusals stays within the log's budget, and none is lost count of")
+{
+  constexpr int kBatches = 100;
+  constexpr int kBatch = 1000;
+  constexpr int kLinesPerSecond = 20;
+  GatewaySystem system(1, 1);
+  REQUIRE(system.start());
+  QByteArray batch;
+  for (int i = 0; i < kBatch; ++i) {
+    batch += "GET /nothing/ HTTP/1.1\r\nHost: a.example\r\n"
+             "Masticwall-Request-Id: flood\r\n\r\n";
+  }
+  const auto start = std::chrono::steady_clock::now();
+  TestCaller caller(system.host(10), GatewaySystem::kFrontPort);
+  int refused = 0;
+  for (int i = 0; i < kBatches; ++i) {
+    caller.send(batch);
+    for (int n = 0; n < kBatch; ++n) {
+      refused += statusOf(caller.receive()) == 404 ? 1 : 0;
+    }
+  }
+  REQUIRE(refused == kBatches * kBatch);
+  QString log;
+  qsizetype written = 0;
+  const auto accountedFor = [&] {
+    // The lines that a second left out are told with the next line of the event.
+    refused += statusOf(system.call(0, "GET", "/nothing/", "flood")) == 404 ? 1 : 0;
+    log += system.gateway(0).standardOutput();
+    written = log.count(text("event=call-refused id=flood"));
+    qint64 n = written;
+    const QRegularExpression suppressed(text("of=call-refused lines=(\\d+)"));
+    for (auto it = suppressed.globalMatch(log); it.hasNext();) {
+      n += it.next().captured(1).toLongLong();
+    }
+    return n;
+  };
+  CHECK(waitUntil([&] { return accountedFor() == refused; }));
+  const auto elapsed = std::chrono::duration_cast<std::chrono::seconds>(
+    std::chrono::steady_clock::now() - start);
+  CHECK(written <= kLinesPerSecond * (elapsed.count() + 2));
+}
+
 TEST_CASE("a refused request is explained by its id: no upstream could answer in time")
 {
   GatewaySystem system(2, 1);
