End a stopped process at once, without waiting for the log library's threads

Traced by writes after each step: main() had ended, and the static destructors did not; log4cplus waits there for the threads of its pool. Ruled out: the daemon's own parts (each destructor was seen to return within 5 ms), the queue of lines, and keeping only the library's initializer alive (a trial: still there). Change: logging ends by itself and the process ends without static destructors.

--- a/daemons/DaemonMain.h
+++ b/daemons/DaemonMain.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <QCoreApplication>
+#include <cstdlib>
 #include <iostream>
 #include <runtime/SignalWatcher.h>
 #include <telemetry/EventLog.h>
@@ -23,6 +24,27 @@
   aDaemon.reload();
 };
 
+/** Logs while it lives. */
+class EventLogScope
+{
+public:
+  explicit EventLogScope(const char* aProcess) { startEventLog(aProcess); }
+  ~EventLogScope() { stopEventLog(); }
+  EventLogScope(const EventLogScope&) = delete;
+  EventLogScope& operator=(const EventLogScope&) = delete;
+};
+
+/**
+ * Ends the process without the destructors of static objects: log4cplus waits there for
+ * the threads of its pool, on some machines until the process is killed.
+ */
+[[noreturn]] inline void
+endProcess(int aExitCode)
+{
+  std::cout.flush();
+  std::_Exit(aExitCode);
+}
+
 /** Runs daemon `D` until it ends; returns the process's exit code. */
 template<class D, class S>
 requires Daemon<D, S>
@@ -35,7 +57,7 @@
     return parse.exitCode;
   }
   QCoreApplication app(aArgc, aArgv);
-  startEventLog(aName);
+  const EventLogScope log(aName);
   auto daemon =
     D::create(*parse.settings, [](int aExitCode) { QCoreApplication::exit(aExitCode); });
   if (daemon.has_error()) {
--- a/daemons/masticwall-control.cpp
+++ b/daemons/masticwall-control.cpp
@@ -5,5 +5,6 @@
 main(int aArgc, char** aArgv)
 {
   using namespace masticwall;
-  return runDaemon<ControlDaemon, ControlSettings>("masticwall-control", aArgc, aArgv);
+  endProcess(
+    runDaemon<ControlDaemon, ControlSettings>("masticwall-control", aArgc, aArgv));
 }
--- a/daemons/masticwall-entry.cpp
+++ b/daemons/masticwall-entry.cpp
@@ -5,5 +5,5 @@
 main(int aArgc, char** aArgv)
 {
   using namespace masticwall;
-  return runDaemon<EntryDaemon, EntrySettings>("masticwall-entry", aArgc, aArgv);
+  endProcess(runDaemon<EntryDaemon, EntrySettings>("masticwall-entry", aArgc, aArgv));
 }
--- a/daemons/masticwall-gateway.cpp
+++ b/daemons/masticwall-gateway.cpp
@@ -7,5 +7,6 @@
 {
   using namespace masticwall;
   using Daemon = GatewayDaemon<platform::MasticwallPlatform>;
-  return runDaemon<Daemon, platform::SettingsFile>("masticwall-gateway", aArgc, aArgv);
+  endProcess(
+    runDaemon<Daemon, platform::SettingsFile>("masticwall-gateway", aArgc, aArgv));
 }
--- a/libs/telemetry/include/telemetry/EventLog.h
+++ b/libs/telemetry/include/telemetry/EventLog.h
@@ -11,6 +11,10 @@
 void
 startEventLog(const std::string& aProcess);
 
+/** Writes the lines that wait, for a short while, and ends logging. Call once, last. */
+void
+stopEventLog();
+
 /**
  * Writes one key=value line. Values are quoted where needed and control characters
  * escaped. Each event is limited to a steady rate; what is left out is counted and
--- a/libs/telemetry/src/EventLog.cpp
+++ b/libs/telemetry/src/EventLog.cpp
@@ -75,6 +75,12 @@
   root.setLogLevel(l4c::INFO_LOG_LEVEL);
 }
 
+void
+stopEventLog()
+{
+  log4cplus::Logger::getRoot().removeAllAppenders();
+}
+
 void
 logEvent(LogEvent aEvent, std::initializer_list<LogField> aFields)
 {
