--- a/libs/feed/include/feed/FeedServer.h
+++ b/libs/feed/include/feed/FeedServer.h
@@ -35,8 +35,6 @@
   /** When a process last asked. */
   Instant lastAsked() const { return mLastAsked; }
 
-  std::size_t waiting() const { return mWaiters.size(); }
-
 private:
   struct Waiter
   {
