--- a/tests/demo/DemoMain.cpp
+++ b/tests/demo/DemoMain.cpp
@@ -1,9 +1,8 @@
+#include "GatewaySystem.h"
 #include "LoadRun.h"
-#include "TestSystem.h"
 #include "Wait.h"
 #include <QCoreApplication>
 #include <algorithm>
-#include <core/Rank.h>
 #include <csignal>
 #include <cstdio>
 #include <map>
@@ -13,40 +12,50 @@
 
 namespace {
 
-constexpr int kVms = 4;
-constexpr double kCallsPerSecond = 600.0;
+constexpr int kGateways = 4;
+constexpr int kUpstreams = 8;
+constexpr int kFirstGatewayHost = 10;
+constexpr double kCallsPerSecond = 400.0;
 constexpr Duration kRunTime = 10s;
 constexpr std::uint64_t kSeed = 20261204;
+constexpr int kNewVersion = 2;
 
-/** A mixed load of three ranks: orders, lookups, and status checks. */
+constexpr int kOk = 200;
+constexpr int kTooManyRequests = 429;
+constexpr int kServiceUnavailable = 503;
+
+constexpr const char* kOrder = "order";
+constexpr const char* kLookup = "lookup";
+
+/** One order in three calls, each with an id of its own. */
 LoadCall
 makeCall(std::uint64_t aIndex, std::mt19937_64& aRandom)
 {
-  const auto draw = std::uniform_real_distribution<double>(0.0, 1.0)(aRandom);
   const auto number = std::to_string(aIndex);
-  if (draw < 0.2) {
-    return { "urgent",
-             makeRequest("POST",
-                         "/orders",
-                         { { "Idempotency-Key", "demo-" + number } },
-                         "cistern " + number) };
+  const http::HeaderList headers{ { "Host", "a.example" },
+                                  { "Masticwall-Request-Id", "demo-" + number },
+                                  { "Masticwall-Request-Deadline", "2000" } };
+  if (std::uniform_int_distribution<int>(0, 2)(aRandom) == 0) {
+    return { kOrder, makeRequest("POST", "/order/" + number, headers, "cistern") };
   }
-  if (draw < 0.6) {
-    return { "standard", makeRequest("GET", "/lookup/" + number) };
-  }
-  return { "bulk", makeRequest("GET", "/status/bulk/" + number) };
+  return { kLookup, makeRequest("GET", "/read/" + number, headers) };
 }
 
-std::vector<Duration>
-latenciesOf(const std::vector<LoadResult>& aResults, const std::string& aKind)
+/** What the caller was told, by the status of its answer. */
+const char*
+outcomeOf(const LoadResult& aResult)
 {
-  std::vector<Duration> latencies;
-  for (const auto& it : aResults) {
-    if (it.kind == aKind && it.outcome == "answered") {
-      latencies.push_back(it.latency);
-    }
+  switch (aResult.status) {
+    case 0:
+      return "none";
+    case kOk:
+      return "answered";
+    case kTooManyRequests:
+    case kServiceUnavailable:
+      return "not-run";
+    default:
+      return "unknown";
   }
-  return latencies;
 }
 
 double
@@ -56,26 +65,24 @@
 }
 
 void
-printRank(const std::string& aRank,
-          const std::vector<LoadResult>& aResults,
-          const std::vector<LoadResult>& aDirect)
+printKind(const std::string& aKind, const std::vector<LoadResult>& aResults)
 {
   std::map<std::string, int> outcomes;
+  std::vector<Duration> latencies;
   for (const auto& it : aResults) {
-    outcomes[it.outcome] += it.kind == aRank ? 1 : 0;
+    if (it.kind == aKind) {
+      ++outcomes[outcomeOf(it)];
+      latencies.push_back(it.latency);
+    }
   }
-  const auto through = latenciesOf(aResults, aRank);
-  const auto direct = latenciesOf(aDirect, "direct");
-  std::printf("%-9s %8d %8d %8d %8d",
-              aRank.c_str(),
+  std::printf("%-9s %8d %8d %8d %8d %10.2f %10.2f\n",
+              aKind.c_str(),
               outcomes["answered"],
               outcomes["not-run"],
               outcomes["unknown"],
-              outcomes["none"]);
-  for (const double share : { 0.5, 0.99, 0.999 }) {
-    std::printf(" %10.2f", toMs(percentile(through, share) - percentile(direct, share)));
-  }
-  std::printf("\n");
+              outcomes["none"],
+              toMs(percentile(latencies, 0.5)),
+              toMs(percentile(latencies, 0.99)));
 }
 
 /** Calls whose answer was not their own, or that got none. */
@@ -84,125 +91,99 @@
 {
   return static_cast<int>(
     std::count_if(aResults.begin(), aResults.end(), [](const LoadResult& aResult) {
-      return !aResult.isOwnAnswer || aResult.outcome == "none";
+      const bool isOther = aResult.status == kOk && !aResult.isOwnAnswer;
+      return isOther || aResult.status == 0;
     }));
 }
 
-/** Orders whose outcome and ledger disagree; prints each. */
+/** Orders whose outcome and the upstreams' ledgers disagree; prints each. */
 int
-countBrokenOrders(const std::vector<LoadResult>& aResults, const LedgerFile& aLedger)
+countBrokenOrders(const std::vector<LoadResult>& aResults, const GatewaySystem& aSystem)
 {
+  const auto runs = aSystem.runsById();
   int n = 0;
   for (const auto& it : aResults) {
-    const std::string key(http::findHeader(it.request.headers, "Idempotency-Key"));
-    const auto runs = aLedger.runsOf(key);
-    const bool isRight = it.outcome == "answered"  ? runs == 1
-                         : it.outcome == "not-run" ? runs == 0
-                                                   : runs <= 1;
-    if (!key.empty() && !isRight) {
-      std::printf("order %s: %s, ran %d times\n", key.c_str(), it.outcome.c_str(), runs);
+    const std::string id(http::findHeader(it.request.headers, "Masticwall-Request-Id"));
+    const auto found = runs.find(id);
+    const int ran = found == runs.end() ? 0 : found->second;
+    const std::string outcome = outcomeOf(it);
+    const bool isRight = outcome == "answered"  ? ran == 1
+                         : outcome == "not-run" ? ran == 0
+                                                : ran <= 1;
+    if (it.kind == kOrder && !isRight) {
+      std::printf("order %s: %s, ran %d times\n", id.c_str(), outcome.c_str(), ran);
       ++n;
     }
   }
   return n;
 }
 
-int
-countDoubled(const LedgerFile& aLedger)
+/** Publishes another configuration; true once every gateway has it in force. */
+bool
+changeConfig(GatewaySystem& aSystem)
 {
-  return static_cast<int>(std::count_if(
-    aLedger.runsByKey.begin(), aLedger.runsByKey.end(), [](const auto& aEntry) {
-      return aEntry.second > 1;
-    }));
+  aSystem.writeConfig(kNewVersion);
+  const auto path = "/v" + std::to_string(kNewVersion) + '/';
+  return waitUntil([&] {
+    for (int i = 0; i < kGateways; ++i) {
+      const auto answer = aSystem.call(i, "GET", path, "config");
+      if (!answer.has_value() || answer->status != 200) {
+        return false;
+      }
+    }
+    return true;
+  });
 }
 
-/** Stops every VM with SIGTERM; the number that did not end with exit code 0. */
+/** Stops every gateway with SIGTERM; the number that did not end with exit code 0. */
 int
-stopAll(TestSystem& aSystem)
+stopAll(GatewaySystem& aSystem)
 {
   int n = 0;
-  for (int i = 0; i < kVms; ++i) {
-    aSystem.entry(i).signal(SIGTERM);
-    aSystem.control(i).signal(SIGTERM);
+  for (int i = 0; i < kGateways; ++i) {
+    aSystem.gateway(i).signal(SIGTERM);
   }
-  for (int i = 0; i < kVms; ++i) {
-    n += aSystem.entry(i).waitForEnd() == 0 ? 0 : 1;
-    n += aSystem.control(i).waitForEnd() == 0 ? 0 : 1;
+  for (int i = 0; i < kGateways; ++i) {
+    n += aSystem.gateway(i).waitForEnd() == 0 ? 0 : 1;
   }
   return n;
 }
 
-SystemPlan
-makePlan()
-{
-  SystemPlan plan;
-  plan.vms = kVms;
-  plan.regions = { "sertao", "litoral" };
-  plan.services = { { "orders", 2, 4 }, { "lookup", 2, 4 }, { "status", 2, 4 } };
-  return plan;
-}
-
-/** Direct calls to the upstreams of the same service, at a rate that makes no queue. */
-std::vector<LoadResult>
-runDirect(const TestSystem& aSystem, const SystemPlan& aPlan)
-{
-  const int n = 2 * static_cast<int>(aPlan.regions.size());
-  std::vector<LoadRun::Target> targets;
-  targets.reserve(static_cast<std::size_t>(n));
-  for (int i = n; i < 2 * n; ++i) {
-    targets.push_back({ aSystem.upstreamHost(i), 9000 });
-  }
-  LoadRun load(targets, kCallsPerSecond / 3.0, kSeed);
-  return load.run(3s, [](std::uint64_t aIndex, std::mt19937_64&) {
-    return LoadCall{ "direct", makeRequest("GET", "/lookup/" + std::to_string(aIndex)) };
-  });
-}
-
 } // namespace
 
 int
 main(int aArgc, char** aArgv)
 {
   QCoreApplication app(aArgc, aArgv);
-  const auto plan = makePlan();
-  TestSystem system(plan);
-  std::printf(
-    "starting 4 VMs in 2 regions, 2 upstreams of each of 3 services a region\n");
+  GatewaySystem system(kGateways, kUpstreams);
+  std::printf("starting a store, %d upstreams and %d gateways\n", kUpstreams, kGateways);
   if (!system.start()) {
     std::printf("the system did not start\n");
     return 1;
   }
-  std::printf("preset \"test\" published and in force on every VM\n%s",
-              system.ctl({ QStringLiteral("status") }).output.toUtf8().constData());
-  const auto direct = runDirect(system, plan);
   std::vector<LoadRun::Target> targets;
-  targets.reserve(kVms);
-  for (int i = 0; i < kVms; ++i) {
-    targets.push_back({ system.vmHost(i), TestSystem::kCallerPort });
+  for (int i = 0; i < kGateways; ++i) {
+    targets.push_back({ system.host(kFirstGatewayHost + i), GatewaySystem::kFrontPort });
   }
-  std::printf("mixed load of %.0f calls/s for 10 s, seed %llu\n",
+  std::printf("orders and lookups, %.0f calls/s for 10 s, seed %llu\n",
               kCallsPerSecond,
               static_cast<unsigned long long>(kSeed));
   LoadRun load(targets, kCallsPerSecond, kSeed);
   const auto results = load.run(kRunTime, makeCall);
-  std::printf(
-    "                                                   added ms over a direct call\n"
-    "rank      answered  not-run  unknown     none        p50        p99      p99.9\n");
-  for (const auto& it : EnumTable<Rank>::kEntries) {
-    printRank(std::string(it.name), results, direct);
-  }
-  const auto ledger = system.ledger();
+  std::printf("kind      answered  not-run  unknown     none     p50 ms     p99 ms\n");
+  printKind(kOrder, results);
+  printKind(kLookup, results);
   const auto wrong = countWrong(results);
-  const auto broken = countBrokenOrders(results, ledger);
-  const auto doubled = countDoubled(ledger);
-  std::printf("wrong or missing answers = %d, orders against the ledger = %d, "
-              "doubled orders = %d\n",
-              wrong,
-              broken,
-              doubled);
+  const auto broken = countBrokenOrders(results, system);
+  std::printf(
+    "wrong or missing answers = %d, orders against the ledgers = %d\n", wrong, broken);
+  const bool isChanged = changeConfig(system);
+  std::printf("configuration %d in force at every gateway: %s\n",
+              kNewVersion,
+              isChanged ? "yes" : "no");
   const auto unclean = stopAll(system);
-  std::printf("processes that did not stop with exit code 0 = %d\n", unclean);
-  const bool isGood = !results.empty() && wrong + broken + doubled + unclean == 0;
+  std::printf("gateways that did not stop with exit code 0 = %d\n", unclean);
+  const bool isGood = !results.empty() && wrong + broken + unclean == 0 && isChanged;
   std::printf("%s\n", isGood ? "demo passed" : "demo FAILED");
   return isGood ? 0 : 1;
 }
--- a/tests/harness/GatewaySystem.cpp
+++ b/tests/harness/GatewaySystem.cpp
@@ -207,12 +207,20 @@
 int
 GatewaySystem::runsOf(const std::string& aId) const
 {
-  int n = 0;
+  const auto runs = runsById();
+  const auto it = runs.find(aId);
+  return it == runs.end() ? 0 : it->second;
+}
+
+std::map<std::string, int>
+GatewaySystem::runsById() const
+{
+  LedgerFile all;
   for (int i = 0; i < static_cast<int>(mUpstreams.size()); ++i) {
     const auto name = QStringLiteral("ledger-%1").arg(i);
-    n += LedgerFile::read(mDirectory.filePath(name)).runsOf(aId);
+    all.add(LedgerFile::read(mDirectory.filePath(name)));
   }
-  return n;
+  return all.runsByKey;
 }
 
 QHostAddress
--- a/tests/harness/GatewaySystem.h
+++ b/tests/harness/GatewaySystem.h
@@ -64,6 +64,9 @@
 
   /** The upstreams that ran the request `aId`, over all of them. */
   int runsOf(const std::string& aId) const;
+
+  /** The runs of each request, over all upstreams. */
+  std::map<std::string, int> runsById() const;
   QHostAddress host(int aLast) const;
   std::string upstreamName(int aIndex) const;
 
--- a/tests/harness/LoadRun.cpp
+++ b/tests/harness/LoadRun.cpp
@@ -79,6 +79,7 @@
         result.outcome = "answered";
       }
       result.reason = reasonOf(aResult.response);
+      result.status = aResult.response.status;
       result.isOwnAnswer =
         result.outcome != "answered" || isAnswerTo(aCall.request, aResult.response);
     }
--- a/tests/harness/LoadRun.h
+++ b/tests/harness/LoadRun.h
@@ -26,6 +26,7 @@
   std::string kind;
   std::string outcome; ///< "answered", "not-run", "unknown", or "none" without an answer
   std::string reason;
+  int status = 0; ///< 0 without an answer
   Instant dueAt;
   Duration latency{ 0 };   ///< from when it was due
   bool isOwnAnswer = true; ///< an answered call got the answer to its own request
