--- a/libs/decide/include/decide/EstimatedLatency.h
+++ b/libs/decide/include/decide/EstimatedLatency.h
@@ -16,7 +16,6 @@
   const Locality& locality;
   Duration typicalWork; ///< of a call in the service at usual speed, without a wait
   double usualPercent = 100.0; ///< mean of what hosts report, as LoadReport::workPercent
-  double bytesFactor = 1.0;    ///< bytes of a call here over those that Locality is for
 
   LatencyEstimate estimate(const UpstreamState& aState, Instant aNow) const;
 
--- a/libs/decide/include/decide/UpstreamPool.h
+++ b/libs/decide/include/decide/UpstreamPool.h
@@ -62,7 +62,7 @@
                                      R& aRandom)
   {
     const auto candidates = eligible({}, aMaxInFlight, aExcluded, aNow);
-    const auto score = scoreFrom(aLocality);
+    const EstimatedLatency score{ aLocality, typicalWork(), mUsualPercent };
     std::uniform_real_distribution<double> blur(1.0, kBlur);
     UpstreamState* best = nullptr;
     auto bestScore = std::numeric_limits<double>::max();
@@ -105,7 +105,7 @@
                                                R& aRandom)
   {
     const auto candidates = eligible({}, aMaxInFlight, aExcluded, aNow);
-    const auto score = scoreFrom(aLocality);
+    const EstimatedLatency score{ aLocality, typicalWork(), mUsualPercent };
     std::uniform_real_distribution<double> blur(1.0, kBlur);
     std::vector<std::pair<double, UpstreamState*>> ranked;
     ranked.reserve(candidates.size());
@@ -132,9 +132,6 @@
 
   void reportLoad(std::string_view aName, const LoadReport& aLoad);
 
-  /** A call and its answer had `aBytes`, without their headers. */
-  void reportBytes(std::size_t aBytes);
-
   /** The upstream's instance leaves; it stays so until another instance is listed. */
   void markLeaving(std::string_view aName, std::string_view aInstance);
 
@@ -180,7 +177,6 @@
                                        int aMaxInFlight,
                                        const std::vector<std::string>& aExcluded,
                                        Instant aNow);
-  EstimatedLatency scoreFrom(const Locality& aLocality) const;
   Duration typicalWork() const;
   UpstreamState* find(std::string_view aName);
   bool isSlow(const UpstreamState& aState) const;
@@ -192,7 +188,6 @@
   std::vector<UpstreamAddress> mLeaving; ///< instances that said so
   Duration mTypicalLatency{ 0 };         ///< median of the upstreams' means
   double mUsualPercent = 100.0;          ///< running mean of reported speeds
-  double mMeanBytes = kLocalityBytes;    ///< running mean of calls' bytes
 };
 
 } // namespace masticwall
--- a/libs/decide/src/EstimatedLatency.cpp
+++ b/libs/decide/src/EstimatedLatency.cpp
@@ -58,7 +58,7 @@
   work *= aState.address.isCold ? kColdFactor : 1.0;
   work *= load > kCrowdedShare ? kCrowdedFactor : 1.0;
   const auto wait = std::max(0.0, load - 1.0) * work;
-  return { wait, work, bytesFactor * distance(aState, locality) };
+  return { wait, work, distance(aState, locality) };
 }
 
 } // namespace masticwall
--- a/libs/decide/src/UpstreamPool.cpp
+++ b/libs/decide/src/UpstreamPool.cpp
@@ -13,14 +13,6 @@
 constexpr int kMaxDoublings = 6;
 constexpr int kLoadWeight = 4;              ///< one report weighs 1/4 in the mean load
 constexpr double kSpeedWeight = 1.0 / 32.0; ///< of one report in the usual speed
-constexpr double kBytesWeight = 1.0 / 32.0; ///< of one call in the mean bytes
-
-/** Headers of a call, of its answer, and of what is asked for beside it, in bytes. */
-constexpr double kHeaderBytes = 700.0;
-
-/** Small calls too take the time of the way; what large ones weigh is bounded. */
-constexpr double kLeastFactor = 1.0;
-constexpr double kMostFactor = 4.0;
 constexpr Duration kAssumedWork = std::chrono::milliseconds(100);
 
 /** An upstream is slow if its mean latency is so many times the median of all. */
@@ -193,19 +185,6 @@
   return states;
 }
 
-void
-UpstreamPool::reportBytes(std::size_t aBytes)
-{
-  mMeanBytes += kBytesWeight * (static_cast<double>(aBytes) + kHeaderBytes - mMeanBytes);
-}
-
-EstimatedLatency
-UpstreamPool::scoreFrom(const Locality& aLocality) const
-{
-  const auto factor = std::clamp(mMeanBytes / kLocalityBytes, kLeastFactor, kMostFactor);
-  return { aLocality, typicalWork(), mUsualPercent, factor };
-}
-
 Duration
 UpstreamPool::typicalWork() const
 {
--- a/libs/entry/src/EntryWorkerSending.cpp
+++ b/libs/entry/src/EntryWorkerSending.cpp
@@ -154,8 +154,6 @@
     onShed(aCall);
     return;
   }
-  mTables.upstreams.reportBytes(aCall.service,
-                                aCall.request.body.size() + aResponse.body.size());
   const bool isError = aResponse.status >= kFirstErrorStatus;
   endAttempt(aCall, isError ? CallEnd::ErrorAnswer : CallEnd::Answered);
   if (isError && mayTryAgain(aCall)) {
--- a/libs/tables/include/tables/UpstreamTable.h
+++ b/libs/tables/include/tables/UpstreamTable.h
@@ -56,8 +56,6 @@
                 CallEnd aEnd,
                 Duration aLatency,
                 Instant aNow);
-  /** A call for `aService` and its answer had `aBytes`, without their headers. */
-  void reportBytes(const std::string& aService, std::size_t aBytes);
   void reportLoad(const UpstreamAddress& aUpstream, const LoadReport& aLoad);
   void reportUnreachable(const UpstreamAddress& aUpstream, Instant aNow);
   void markLeaving(const UpstreamAddress& aUpstream);
--- a/libs/tables/src/UpstreamTable.cpp
+++ b/libs/tables/src/UpstreamTable.cpp
@@ -88,13 +88,6 @@
   mPools[aUpstream.service].finished(aUpstream.name, aEnd, aLatency, aNow);
 }
 
-void
-UpstreamTable::reportBytes(const std::string& aService, std::size_t aBytes)
-{
-  std::scoped_lock lock(mMutex);
-  mPools[aService].reportBytes(aBytes);
-}
-
 void
 UpstreamTable::reportLoad(const UpstreamAddress& aUpstream, const LoadReport& aLoad)
 {
