--- a/libs/decide/include/decide/UpstreamPool.h
+++ b/libs/decide/include/decide/UpstreamPool.h
@@ -61,19 +61,12 @@
                                      Instant aNow,
                                      R& aRandom)
   {
-    const auto candidates = eligible({}, aMaxInFlight, aExcluded, aNow);
-    const EstimatedLatency score{ aLocality, typicalWork(), mUsualPercent };
-    std::uniform_real_distribution<double> blur(1.0, kBlur);
     UpstreamState* best = nullptr;
     auto bestScore = std::numeric_limits<double>::max();
-    for (auto* const it : candidates) {
-      const auto estimate = score.estimate(*it, aNow);
-      // Processes that know the same must not all choose the same.
-      const auto value =
-        (estimate.wait + estimate.work + estimate.distance) * blur(aRandom);
-      if (value < bestScore && isWithin(estimate, aLimit)) {
-        best = it;
-        bestScore = value;
+    for (const auto& it : score(aLocality, aMaxInFlight, aExcluded, aNow, aRandom)) {
+      if (it.score < bestScore && isWithin(it.estimate, aLimit)) {
+        best = it.state;
+        bestScore = it.score;
       }
     }
     if (best != nullptr) {
@@ -104,21 +97,18 @@
                                                Instant aNow,
                                                R& aRandom)
   {
-    const auto candidates = eligible({}, aMaxInFlight, aExcluded, aNow);
-    const EstimatedLatency score{ aLocality, typicalWork(), mUsualPercent };
-    std::uniform_real_distribution<double> blur(1.0, kBlur);
-    std::vector<std::pair<double, UpstreamState*>> ranked;
-    ranked.reserve(candidates.size());
-    for (auto* const it : candidates) {
-      ranked.emplace_back(score(*it, aNow) * blur(aRandom), it);
-    }
+    auto ranked = score(aLocality, aMaxInFlight, aExcluded, aNow, aRandom);
     const auto n = std::min(aCount, ranked.size());
-    std::partial_sort(
-      ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(n), ranked.end());
+    std::partial_sort(ranked.begin(),
+                      ranked.begin() + static_cast<std::ptrdiff_t>(n),
+                      ranked.end(),
+                      [](const Scored& aLeft, const Scored& aRight) {
+                        return aLeft.score < aRight.score;
+                      });
     std::vector<UpstreamAddress> stale;
     for (std::size_t i = 0; i < n; ++i) {
-      if (aNow - ranked[i].second->load.at > aFreshFor) {
-        stale.push_back(ranked[i].second->address);
+      if (aNow - ranked[i].state->load.at > aFreshFor) {
+        stale.push_back(ranked[i].state->address);
       }
     }
     return stale;
@@ -145,6 +135,34 @@
 private:
   static constexpr double kBlur = 1.2; ///< scores are taken up to this factor longer
 
+  /** An upstream with the latency to expect there. */
+  struct Scored
+  {
+    UpstreamState* state = nullptr;
+    LatencyEstimate estimate;
+    double score = 0.0; ///< the estimate's sum, blurred
+  };
+
+  /** Scores the upstreams that may take a call, of any region. */
+  template<RandomSource R>
+  std::vector<Scored> score(const Locality& aLocality,
+                            int aMaxInFlight,
+                            const std::vector<std::string>& aExcluded,
+                            Instant aNow,
+                            R& aRandom)
+  {
+    const EstimatedLatency estimator{ aLocality, typicalWork(), mUsualPercent };
+    // Processes that know the same must not all choose the same.
+    std::uniform_real_distribution<double> blur(1.0, kBlur);
+    std::vector<Scored> scored;
+    for (auto* const it : eligible({}, aMaxInFlight, aExcluded, aNow)) {
+      const auto estimate = estimator.estimate(*it, aNow);
+      const auto sum = estimate.wait + estimate.work + estimate.distance;
+      scored.push_back({ it, estimate, sum * blur(aRandom) });
+    }
+    return scored;
+  }
+
   static bool isWithin(const LatencyEstimate& aEstimate, const LatencyLimit& aLimit)
   {
     const std::chrono::duration<double> wait(aEstimate.wait);
--- a/libs/entry/src/EntryWorker.h
+++ b/libs/entry/src/EntryWorker.h
@@ -51,7 +51,7 @@
 
   // Arrival
   void onRequest(http::Request aRequest, http::ResponderPtr aResponder);
-  void refuseUnrouted(const http::Request& aRequest,
+  void refuseUnrouted(const CallTerms& aTerms,
                       const http::ResponderPtr& aResponder,
                       CallError aError);
   void answerHealth(const http::ResponderPtr& aResponder) const;
--- a/libs/entry/src/EntryWorkerArrival.cpp
+++ b/libs/entry/src/EntryWorkerArrival.cpp
@@ -30,15 +30,15 @@
     answerHealth(aResponder);
     return;
   }
+  auto terms = dialect.readTerms(aRequest);
   const auto preset = mTables.presets.current();
   if (preset == nullptr) {
-    refuseUnrouted(aRequest, aResponder, CallError::NotReady);
+    refuseUnrouted(terms, aResponder, CallError::NotReady);
     return;
   }
-  auto terms = dialect.readTerms(aRequest);
   const auto route = matchRoute(*preset, terms.host, aRequest.method, aRequest.target);
   if (route.has_error()) {
-    refuseUnrouted(aRequest, aResponder, CallError::NoRoute);
+    refuseUnrouted(terms, aResponder, CallError::NoRoute);
     return;
   }
   auto call = std::make_unique<Call>();
@@ -63,13 +63,13 @@
 }
 
 void
-EntryWorker::refuseUnrouted(const http::Request& aRequest,
+EntryWorker::refuseUnrouted(const CallTerms& aTerms,
                             const http::ResponderPtr& aResponder,
                             CallError aError)
 {
-  const auto terms = mHub.dialect.readTerms(aRequest);
-  logEvent(LogEvent::CallRefused,
-           { { "id", terms.id }, { "reason", nameOf(aError) }, { "host", terms.host } });
+  logEvent(
+    LogEvent::CallRefused,
+    { { "id", aTerms.id }, { "reason", nameOf(aError) }, { "host", aTerms.host } });
   aResponder->respond(mHub.dialect.encodeOutcome(Outcome::NotRun, aError, retryAfter()));
 }
 
--- a/libs/entry/src/EntryWorkerEnding.cpp
+++ b/libs/entry/src/EntryWorkerEnding.cpp
@@ -202,10 +202,11 @@
   if (aCall.responder == nullptr) {
     return;
   }
-  logStory(aCall, aOutcome, aReason, mTimers.now());
-  mTables.statistics.add(
-    aCall.route->rank, aOutcome, std::string(aReason), mTimers.now() - aCall.arrivedAt);
-  mTables.metrics.add(measure(aCall, aOutcome, aReason, mTimers.now()));
+  const auto now = mTimers.now();
+  logStory(aCall, aOutcome, aReason, now);
+  const auto ended = measure(aCall, aOutcome, aReason, now);
+  mTables.statistics.add(ended);
+  mTables.metrics.add(ended);
   const auto responder = std::move(aCall.responder);
   responder->respond(std::move(aResponse));
 }
--- a/libs/telemetry/include/telemetry/CallStatistics.h
+++ b/libs/telemetry/include/telemetry/CallStatistics.h
@@ -6,6 +6,7 @@
 #include <core/Rank.h>
 #include <map>
 #include <string>
+#include <telemetry/EndedCall.h>
 #include <telemetry/LatencySummary.h>
 
 namespace masticwall {
@@ -14,8 +15,7 @@
 class CallStatistics
 {
 public:
-  /** A call ended. `aReason` is the error's name, empty for answered calls. */
-  void add(Rank aRank, Outcome aOutcome, const std::string& aReason, Duration aLatency);
+  void add(const EndedCall& aCall);
 
   /** Latencies in microseconds, from the call's arrival to its answer. */
   QJsonObject toJson() const;
--- a/libs/telemetry/include/telemetry/EndedCall.h
+++ b/libs/telemetry/include/telemetry/EndedCall.h
@@ -19,6 +19,13 @@
   Duration total{ 0 };              ///< from its arrival to its answer
   std::optional<Duration> queued;   ///< until it was sent first
   std::optional<Duration> upstream; ///< the last attempt
+
+  /** The outcome, with the reason if there is one: "not-run:overload". */
+  std::string result() const
+  {
+    const std::string name(nameOf(outcome));
+    return reason.empty() ? name : name + ':' + reason;
+  }
 };
 
 } // namespace masticwall
--- a/libs/telemetry/src/CallStatistics.cpp
+++ b/libs/telemetry/src/CallStatistics.cpp
@@ -19,20 +19,13 @@
 } // namespace
 
 void
-CallStatistics::add(Rank aRank,
-                    Outcome aOutcome,
-                    const std::string& aReason,
-                    Duration aLatency)
+CallStatistics::add(const EndedCall& aCall)
 {
-  std::string label(nameOf(aOutcome));
-  if (!aReason.empty()) {
-    label += ':' + aReason;
-  }
   std::scoped_lock lock(mMutex);
-  auto& rank = mRanks[indexOf(aRank)];
-  ++rank.counts[label];
-  if (aOutcome == Outcome::Answered) {
-    rank.latency.add(aLatency);
+  auto& rank = mRanks[indexOf(aCall.rank)];
+  ++rank.counts[aCall.result()];
+  if (aCall.outcome == Outcome::Answered) {
+    rank.latency.add(aCall.total);
   }
 }
 
--- a/libs/telemetry/src/Metrics.cpp
+++ b/libs/telemetry/src/Metrics.cpp
@@ -84,8 +84,7 @@
 {
   const std::string rank(nameOf(aCall.rank));
   const std::string outcome(nameOf(aCall.outcome));
-  const auto result = aCall.reason.empty() ? outcome : outcome + ':' + aCall.reason;
-  mImpl->calls.Add({ { "rank", rank }, { "result", result } }).Increment();
+  mImpl->calls.Add({ { "rank", rank }, { "result", aCall.result() } }).Increment();
   const auto service = mImpl->services.admit(aCall.service);
   mImpl->serviceCalls.Add({ { "service", service }, { "outcome", outcome } }).Increment();
   const auto route = mImpl->routes.admit(aCall.route);
--- a/tests/harness/GatewaySystem.cpp
+++ b/tests/harness/GatewaySystem.cpp
@@ -241,12 +241,6 @@
   return mDirectory.filePath(QStringLiteral("boot-%1.toml").arg(aIndex));
 }
 
-void
-GatewaySystem::changeSettings(int aIndex, double aRetryShare)
-{
-  writeSettings(aIndex, aRetryShare);
-}
-
 void
 GatewaySystem::spoilSettings(int aIndex)
 {
--- a/tests/harness/GatewaySystem.h
+++ b/tests/harness/GatewaySystem.h
@@ -34,8 +34,8 @@
   bool isReady(int aIndex);
   std::string metrics(int aIndex);
 
-  /** Writes a gateway's settings file with other budgets, or with no content at all. */
-  void changeSettings(int aIndex, double aRetryShare);
+  /** Writes a gateway's settings file, or one that can't be read. */
+  void writeSettings(int aIndex, double aRetryShare = 0.2) const;
   void spoilSettings(int aIndex);
 
   /** Writes a configuration: "/read/" is safe, "/order/" is not, and "/vN/" its version.
@@ -73,7 +73,6 @@
 private:
   static std::size_t at(int aIndex) { return static_cast<std::size_t>(aIndex); }
   QString settingsPath(int aIndex) const;
-  void writeSettings(int aIndex, double aRetryShare = 0.2) const;
   QStringList upstreamArguments(int aIndex) const;
   http::Response post(const QHostAddress& aHost,
                       quint16 aPort,
--- a/tests/integration/GatewayTest.cpp
+++ b/tests/integration/GatewayTest.cpp
@@ -220,12 +220,12 @@
       return log.count(text(aEvent)) >= aTimes;
     });
   };
-  system.changeSettings(0, 0.5);
+  system.writeSettings(0, 0.5);
   CHECK(hasLogged("event=reloaded", 1));
   system.spoilSettings(0);
   CHECK(hasLogged("event=settings-wrong", 1));
   CHECK(statusOf(system.call(0, "GET", "/read/1", "after")) == 200);
-  system.changeSettings(0, 0.25);
+  system.writeSettings(0, 0.25);
   CHECK(hasLogged("event=reloaded", 2));
 }
 
--- a/tests/standins/LogMain.cpp
+++ b/tests/standins/LogMain.cpp
@@ -1,22 +1,13 @@
-#include "AdminServer.h"
 #include "LogService.h"
-#include <QCoreApplication>
+#include "ServiceMain.h"
 
 using namespace masticwall;
 
 int
 main(int aArgc, char** aArgv)
 {
-  QCoreApplication app(aArgc, aArgv);
-  const standin::Options options(QCoreApplication::arguments());
-  TimerService timers;
-  standin::LogService service(timers, options);
-  const auto listener = standin::listenOrExit(
-    timers,
-    options.host(),
-    options.port(),
-    [&](const http::Request& aRequest, const http::ResponderPtr& aResponder) {
-      service.handle(aRequest, aResponder);
+  return standin::runService(
+    aArgc, aArgv, [](TimerService& aTimers, const standin::Options& aOptions) {
+      return standin::LogService(aTimers, aOptions);
     });
-  return QCoreApplication::exec();
 }
--- a/tests/standins/VmListMain.cpp
+++ b/tests/standins/VmListMain.cpp
@@ -1,6 +1,4 @@
-#include "AdminServer.h"
-#include "Options.h"
-#include <QCoreApplication>
+#include "ServiceMain.h"
 #include <deque>
 
 using namespace masticwall;
@@ -59,16 +57,8 @@
 int
 main(int aArgc, char** aArgv)
 {
-  QCoreApplication app(aArgc, aArgv);
-  const standin::Options options(QCoreApplication::arguments());
-  TimerService timers;
-  VmListService service(timers, options.number(QStringLiteral("lag-ms"), 0));
-  const auto listener = standin::listenOrExit(
-    timers,
-    options.host(),
-    options.port(),
-    [&](const http::Request& aRequest, const http::ResponderPtr& aResponder) {
-      service.handle(aRequest, aResponder);
+  return standin::runService(
+    aArgc, aArgv, [](TimerService& aTimers, const standin::Options& aOptions) {
+      return VmListService(aTimers, aOptions.number(QStringLiteral("lag-ms"), 0));
     });
-  return QCoreApplication::exec();
 }
