--- a/libs/http/src/BeastMessage.h
+++ b/libs/http/src/BeastMessage.h
@@ -5,6 +5,7 @@
 #include <boost/beast/http.hpp>
 #include <http/Header.h>
 #include <http/HttpError.h>
+#include <http/MessageLimits.h>
 
 // Helpers for the source files that use Boost.Beast.
 namespace masticwall::http {
@@ -90,6 +91,20 @@
   return ec;
 }
 
+/**
+ * Whether the bytes that the parser has left over exceed the limit of a header. They are
+ * an incomplete line of a header, of a chunk's size and extensions, or of a trailer; the
+ * parser itself limits only the first.
+ */
+template<class Parser>
+bool
+isLineTooLong(const Parser& aParser,
+              const QByteArray& aLeftOver,
+              const MessageLimits& aLimits)
+{
+  return !aParser.is_done() && aLeftOver.size() > qsizetype{ aLimits.maxHeaderBytes };
+}
+
 /** Serializes a Beast message, or its header only. */
 template<bool IsRequest, class Body>
 QByteArray
--- a/libs/http/src/PooledConnection.cpp
+++ b/libs/http/src/PooledConnection.cpp
@@ -5,6 +5,14 @@
 
 namespace masticwall::http {
 
+namespace {
+
+/** Late responses to earlier requests may precede the right one. An upstream that sends
+ * more of them than this is failing. */
+constexpr int kMaxUnexpectedResponses = 8;
+
+} // namespace
+
 PooledConnection::PooledConnection(TimerService& aTimers,
                                    const QHostAddress& aHost,
                                    std::uint16_t aPort,
@@ -125,6 +133,12 @@
     close();
     return;
   }
+  takeResponses();
+}
+
+void
+PooledConnection::takeResponses()
+{
   while (mExchange.has_value()) {
     auto response = mParser->feed(mBytes);
     if (response.has_error()) {
@@ -147,6 +161,10 @@
   if (isMatchingResponse != nullptr && !isMatchingResponse(aResponse)) {
     // A late or unexpected response to another request; the right one may follow.
     mHasUnexpectedData = true;
+    if (++mUnexpectedResponses > kMaxUnexpectedResponses) {
+      finish(ExchangeError::BadResponse, {});
+      return;
+    }
     resetParser();
     return;
   }
@@ -175,18 +193,19 @@
     close();
     return;
   }
-  if (mIsRequestWritten && mExchange->allowCloseDelimited && !wasReset()) {
+  if (mIsRequestWritten) {
+    const bool mayBeCloseDelimited = mExchange->allowCloseDelimited && !wasReset();
     mBytes += mSocket->readAll();
-    auto response = mParser->feed(mBytes);
-    auto finished = mParser->finish();
-    if (response.has_value() && finished.has_value()) {
-      finished.value().keepAlive = false;
-      onResponse(std::move(finished.value()));
-      // Still active if it was another request's response; no more can follow.
-      finish(ExchangeError::Closed, {});
-      return;
+    takeResponses();
+    if (mExchange.has_value() && mayBeCloseDelimited) {
+      auto response = mParser->finish();
+      if (response.has_value()) {
+        response.value().keepAlive = false;
+        onResponse(std::move(response.value()));
+      }
     }
   }
+  // Nothing to do if the last bytes have completed the response.
   finish(mIsConnected ? ExchangeError::Closed : ExchangeError::ConnectFailed, {});
 }
 
--- a/libs/http/src/PooledConnection.h
+++ b/libs/http/src/PooledConnection.h
@@ -45,6 +45,7 @@
   void onReadable();
   void onDisconnected();
   bool wasReset() const;
+  void takeResponses();
   void onResponse(Response aResponse);
   void writeRequest();
   void resetParser();
@@ -63,6 +64,7 @@
   TimerHandle mTimeoutTimer;
   Instant mLastActivity;
   Duration mKeepAliveTimeout = Duration::max();
+  int mUnexpectedResponses = 0; ///< complete ones that belong to no request
   bool mIsConnected = false;
   bool mIsRequestWritten = false;
   bool mHasUnexpectedData = false; ///< received bytes that belong to no request
--- a/libs/http/src/RequestParser.cpp
+++ b/libs/http/src/RequestParser.cpp
@@ -6,6 +6,7 @@
 struct RequestParser::Impl
 {
   beast::request_parser<beast::string_body> parser;
+  MessageLimits limits;
 
   Request releaseRequest()
   {
@@ -24,6 +25,7 @@
 RequestParser::RequestParser(const MessageLimits& aLimits)
   : mImpl(std::make_unique<Impl>())
 {
+  mImpl->limits = aLimits;
   mImpl->parser.eager(true);
   mImpl->parser.header_limit(aLimits.maxHeaderBytes);
   mImpl->parser.body_limit(aLimits.maxBodyBytes);
@@ -41,6 +43,9 @@
   if (ec) {
     return toHttpError(ec);
   }
+  if (isLineTooLong(mImpl->parser, aBytes, mImpl->limits)) {
+    return HttpError::HeaderTooLarge;
+  }
   if (!mImpl->parser.is_done()) {
     return std::optional<Request>();
   }
--- a/libs/http/src/ResponseParser.cpp
+++ b/libs/http/src/ResponseParser.cpp
@@ -6,6 +6,14 @@
 
 namespace {
 
+/** An upstream that sends more interim (1xx) responses than this to one request is
+ * failing. */
+constexpr int kMaxInterimResponses = 8;
+
+/** Limit of the bytes of a response, as a multiple of the limit of its body: the framing
+ * of one-byte chunks takes five bytes each. */
+constexpr std::uint64_t kMaxFramingFactor = 8;
+
 /** The "timeout" parameter of a Keep-Alive field, in seconds. */
 std::optional<Duration>
 parseKeepAliveTimeout(const std::string& aField)
@@ -32,6 +40,14 @@
   bool isHead = false;
   bool mayBeCloseDelimited = false;
   std::optional<Parser> parser;
+  int interimResponses = 0;
+  std::uint64_t bytesParsed = 0;
+
+  std::uint64_t maxBytes() const
+  {
+    return (kMaxInterimResponses + 1) * std::uint64_t{ limits.maxHeaderBytes } +
+           kMaxFramingFactor * limits.maxBodyBytes;
+  }
 
   void reset()
   {
@@ -91,14 +107,25 @@
 ResponseParser::feed(QByteArray& aBytes)
 {
   while (true) {
+    const auto size = aBytes.size();
     const auto ec = feedParser(*mImpl->parser, aBytes);
     if (ec) {
       return toHttpError(ec);
     }
+    mImpl->bytesParsed += static_cast<std::uint64_t>(size - aBytes.size());
+    if (mImpl->bytesParsed > mImpl->maxBytes()) {
+      return HttpError::BodyTooLarge;
+    }
+    if (isLineTooLong(*mImpl->parser, aBytes, mImpl->limits)) {
+      return HttpError::HeaderTooLarge;
+    }
     if (!mImpl->parser->is_header_done()) {
       return std::optional<Response>();
     }
     if (mImpl->isInterim()) {
+      if (++mImpl->interimResponses > kMaxInterimResponses) {
+        return HttpError::Malformed;
+      }
       mImpl->reset();
       continue;
     }
