A drain that the feed has started is not shortened by the first SIGTERM

Cause: if the control process handled its SIGTERM first, the entry began its drain on the feed's word, and its own SIGTERM counted as the second, which ends the notice period. Change: only a second requestStop() ends it.

--- a/libs/entry/include/entry/EntryProcess.h
+++ b/libs/entry/include/entry/EntryProcess.h
@@ -40,7 +40,8 @@
   /**
    * Starts a graceful shutdown: health checks report it, callers' connections are closed
    * after their next response, and new connections are accepted until the notice period
-   * ends. A second call ends the notice period at once. Calls in flight may finish until
+   * ends. A second call ends the notice period at once; a shutdown that the VM list or an
+   * operator has started does not count as the first. Calls in flight may finish until
    * the longest drain time; if any are left then, the exit code is 3.
    */
   void requestStop();
--- a/libs/entry/src/EntryProcess.cpp
+++ b/libs/entry/src/EntryProcess.cpp
@@ -65,6 +65,7 @@
   Result<void> startOperatorServer();
   void onTablesChanged();
   void requestStop();
+  void startDrain();
   void stopAccepting();
   void checkDrained();
   void end(int aExitCode);
@@ -83,6 +84,7 @@
   TimerHandle drainTimer;
   TimerHandle longestDrainTimer;
   bool isAccepting = true;
+  bool isStopRequested = false; ///< requestStop() was called
 };
 
 Result<void>
@@ -144,11 +146,7 @@
     return !tables.isLeaving && tables.presets.current() != nullptr;
   };
   handlers.isLeaving = [this] { return tables.isLeaving.load(); };
-  handlers.drain = [this] {
-    if (!tables.isLeaving) {
-      requestStop();
-    }
-  };
+  handlers.drain = [this] { startDrain(); };
   const auto& settings = tables.settings;
   BOOST_OUTCOME_TRY(
     server,
@@ -164,18 +162,29 @@
 {
   applyMembership(tables, timers.now());
   postToEachWorker([](EntryWorker& aWorker) { aWorker.onPresetChanged(); });
-  if (isListedAsLeaving(tables) && !tables.isLeaving) {
-    requestStop();
+  if (isListedAsLeaving(tables)) {
+    startDrain();
   }
 }
 
 void
 EntryProcess::Impl::requestStop()
 {
-  if (tables.isLeaving.exchange(true)) {
+  // A first request after the drain has started otherwise doesn't shorten it: the VM's
+  // processes are told to stop one after the other, and the feed may be faster.
+  if (std::exchange(isStopRequested, true)) {
     stopAccepting();
     return;
   }
+  startDrain();
+}
+
+void
+EntryProcess::Impl::startDrain()
+{
+  if (tables.isLeaving.exchange(true)) {
+    return;
+  }
   const auto& settings = tables.settings;
   logEvent(LogEvent::StopRequested,
            { { "notice_ms", toMilliseconds(settings.noticePeriod) } });
--- a/tests/integration/ShutdownTest.cpp
+++ b/tests/integration/ShutdownTest.cpp
@@ -21,19 +21,32 @@
   return plan;
 }
 
+/** Which of a VM's processes are told to stop, and when. */
+enum class StopOrder : std::uint8_t
+{
+  Together,     ///< both at the same time
+  ControlFirst, ///< the entry half a second later, when the feed has told it to leave
+};
+
 /**
  * A load on two VMs, of which VM 0 is told to leave after a second; the platform's
  * balancer notices half of the notice period later.
  */
 std::vector<LoadResult>
-runLoadOverShutdown(TestSystem& aSystem, const std::string& aPath)
+runLoadOverShutdown(TestSystem& aSystem, const std::string& aPath, StopOrder aOrder)
 {
+  const auto stopAt = static_cast<std::uint64_t>(kRate);
+  const auto stopEntryAt = aOrder == StopOrder::Together
+                             ? stopAt
+                             : stopAt + static_cast<std::uint64_t>(kRate / 2);
   const LoadRun::Target leaving{ aSystem.vmHost(0), TestSystem::kCallerPort };
   const LoadRun::Target staying{ aSystem.vmHost(1), TestSystem::kCallerPort };
   LoadRun load({ leaving, staying }, kRate, 7);
   return load.run(5s, [&](std::uint64_t aIndex, std::mt19937_64&) {
-    if (aIndex == static_cast<std::uint64_t>(kRate)) {
+    if (aIndex == stopEntryAt) {
       aSystem.entry(0).signal(SIGTERM);
+    }
+    if (aIndex == stopAt) {
       aSystem.control(0).signal(SIGTERM);
     }
     if (aIndex == static_cast<std::uint64_t>(2 * kRate)) {
@@ -65,7 +78,7 @@
     if (isLogDown) {
       system.setLog("hang=1");
     }
-    const auto results = runLoadOverShutdown(system, "/lookup/");
+    const auto results = runLoadOverShutdown(system, "/lookup/", StopOrder::Together);
     for (const auto& it : results) {
       INFO(it.outcome << " " << it.reason);
       CHECK(it.outcome == "answered");
@@ -79,6 +92,20 @@
   }
 }
 
+TEST_CASE("a VM whose control process is told to stop first cuts off no request")
+{
+  TestSystem system(makePlan());
+  REQUIRE(system.start());
+  for (const auto& it :
+       runLoadOverShutdown(system, "/lookup/", StopOrder::ControlFirst)) {
+    INFO(it.outcome << " " << it.reason);
+    CHECK(it.outcome == "answered");
+    CHECK(it.isOwnAnswer);
+  }
+  CHECK(system.entry(0).waitForEnd() == 0);
+  CHECK(system.control(0).waitForEnd() == 0);
+}
+
 TEST_CASE("while it leaves, a VM says so on its health path and still answers")
 {
   TestSystem system(makePlan());
