Retries that a large fleet can spend; ask more upstreams of few slots; Retry-After by time left

Change: RetryAllowance and RetryCredit (credit by calls, random phase), LoadQueryScope (12 slots asked), RetryAfterRange, LatencyLimit::of() out of the worker; tests/model plays a load in virtual time.

--- a/libs/decide/include/decide/LatencyLimit.h
+++ b/libs/decide/include/decide/LatencyLimit.h
@@ -1,18 +1,31 @@
 #pragma once
 
 #include <core/Time.h>
+#include <decide/Preset.h>
+#include <string>
 
 namespace masticwall {
 
 /**
  * Limits of the estimated latency: an upstream is not selected for a call if its estimate
- * exceeds either of them. The distance penalty of the estimate does not count. The limit
- * on queueing keeps calls from delaying more urgent ones that are queued behind them.
+ * exceeds either of them. The distance penalty of the estimate does not count.
+ *
+ * The load that this answers: a flood. A call that would end far beyond its latency
+ * target is refused, so that another can use the slot. The limit on queueing keeps calls
+ * from delaying more urgent ones that are queued behind them.
  */
 struct LatencyLimit
 {
   Duration maxTotal = Duration::max();    ///< of queueing and processing together
   Duration maxQueueing = Duration::max(); ///< of queueing alone
+
+  /** The limit at `aNow` for a call to `aService` that arrived at `aArrivedAt`. */
+  static LatencyLimit of(const Preset& aPreset,
+                         const Route& aRoute,
+                         const std::string& aService,
+                         Instant aArrivedAt,
+                         Instant aDeadline,
+                         Instant aNow);
 };
 
 } // namespace masticwall
--- a/libs/decide/include/decide/RetryBudget.h
+++ b/libs/decide/include/decide/RetryBudget.h
@@ -1,6 +1,8 @@
 #pragma once
 
-#include <decide/TokenBucket.h>
+#include <core/RandomSource.h>
+#include <decide/RetryAllowance.h>
+#include <decide/RetryCredit.h>
 #include <string>
 #include <unordered_map>
 
@@ -14,37 +16,42 @@
 class RetryBudget
 {
 public:
+  /** Credit that was already earned is kept, up to the new burst. */
+  void configure(const RetryAllowance& aAllowance)
+  {
+    mAllowance = aAllowance;
+    for (auto& [service, credit] : mCredits) {
+      credit.setBurst(aAllowance.burst);
+    }
+  }
+
   /**
-   * `aRatio`: retries earned by each call; `aBurst`: maximum of saved-up retries, all
-   * available from the start; below 1, no retry is ever allowed.
+   * Counts a new call for `aService`; a retry does not count. `aRandom` gives the phase
+   * of a service's first call.
    */
-  void configure(double aRatio, double aBurst)
+  template<RandomSource R>
+  void recordCall(const std::string& aService, Instant aNow, R& aRandom)
   {
-    mRatio = aRatio;
-    mBurst = aBurst;
-    for (auto& [service, bucket] : mBuckets) {
-      bucket.configure(0.0, aBurst);
+    auto it = mCredits.find(aService);
+    if (it == mCredits.end()) {
+      std::uniform_real_distribution<double> distribution(0.0, 1.0);
+      const auto phase = mAllowance.isShare ? distribution(aRandom) : 0.0;
+      it =
+        mCredits.try_emplace(aService, mAllowance.burst, mAllowance.initial, phase).first;
     }
+    it->second.earn(mAllowance.perCall, aNow);
   }
 
-  /** Counts a new call for `aService`; a retry does not count. */
-  void recordCall(const std::string& aService) { bucketOf(aService).add(mRatio); }
-
-  /** Consumes one retry; false if the budget is exhausted. */
+  /** Consumes one retry; false if the budget is exhausted or the service has no calls. */
   bool tryConsume(const std::string& aService, Instant aNow)
   {
-    return bucketOf(aService).tryConsume(1.0, aNow);
+    const auto it = mCredits.find(aService);
+    return it != mCredits.end() && it->second.tryConsume(aNow);
   }
 
 private:
-  TokenBucket& bucketOf(const std::string& aService)
-  {
-    return mBuckets.try_emplace(aService, 0.0, mBurst).first->second;
-  }
-
-  double mRatio = 0.0;                                   ///< retries per call
-  double mBurst = 0.0;                                   ///< retries
-  std::unordered_map<std::string, TokenBucket> mBuckets; ///< by service; in retries
+  RetryAllowance mAllowance;
+  std::unordered_map<std::string, RetryCredit> mCredits; ///< by service
 };
 
 } // namespace masticwall
--- a/libs/decide/include/decide/UpstreamPool.h
+++ b/libs/decide/include/decide/UpstreamPool.h
@@ -8,6 +8,7 @@
 #include <decide/FewestInFlight.h>
 #include <decide/LatencyLimit.h>
 #include <decide/LoadBalancingPolicy.h>
+#include <decide/LoadQueryScope.h>
 #include <decide/SlotShare.h>
 #include <limits>
 #include <memory>
@@ -95,31 +96,36 @@
   }
 
   /**
-   * Of the `aCount` eligible upstreams with the lowest estimated latency, those whose
-   * load report is older than `aMaxReportAge`.
+   * Of the eligible upstreams with the lowest estimated latency, as many as `aScope`
+   * says, those whose load report is older than `aMaxReportAge`.
    */
   template<RandomSource R>
   std::vector<UpstreamAddress> staleTopCandidates(
     const Locality& aLocality,
     int aMaxInFlight,
     const std::vector<std::string>& aExcluded,
-    std::size_t aCount,
+    const LoadQueryScope& aScope,
     Duration aMaxReportAge,
     Instant aNow,
     R& aRandom)
   {
     auto ranked = scoreCandidates(aLocality, aMaxInFlight, aExcluded, aNow, aRandom);
-    const auto n = std::min(aCount, ranked.size());
-    std::partial_sort(ranked.begin(),
-                      ranked.begin() + static_cast<std::ptrdiff_t>(n),
-                      ranked.end(),
-                      [](const ScoredUpstream& aLeft, const ScoredUpstream& aRight) {
-                        return aLeft.score < aRight.score;
-                      });
+    std::sort(ranked.begin(),
+              ranked.end(),
+              [](const ScoredUpstream& aLeft, const ScoredUpstream& aRight) {
+                return aLeft.score < aRight.score;
+              });
     std::vector<UpstreamAddress> stale;
-    for (std::size_t i = 0; i < n; ++i) {
-      if (aNow - ranked[i].state->load.receivedAt > aMaxReportAge) {
-        stale.push_back(ranked[i].state->address);
+    std::size_t n = 0;
+    int slots = 0;
+    for (const auto& it : ranked) {
+      if (n >= aScope.upstreams && slots >= aScope.slots) {
+        break;
+      }
+      ++n;
+      slots += it.state->slots;
+      if (aNow - it.state->load.receivedAt > aMaxReportAge) {
+        stale.push_back(it.state->address);
       }
     }
     return stale;
@@ -153,6 +159,9 @@
   /** The regions that have upstreams, after `aLocalRegion`, which always comes first. */
   std::vector<std::string> regions(std::string_view aLocalRegion) const;
 
+  /** Median of the upstreams' mean latencies; a default while too few have samples. */
+  Duration typicalProcessingTime() const;
+
   /** Total slots of the upstreams in `aRegion` that are not leaving. */
   int slotsIn(std::string_view aRegion) const;
 
@@ -228,9 +237,6 @@
                                              const std::vector<std::string>& aExcluded,
                                              Instant aNow);
 
-  /** Median of the upstreams' mean latencies; a default while too few have samples. */
-  Duration typicalProcessingTime() const;
-
   UpstreamState* find(std::string_view aName);
 
   /** True if the mean latency exceeds kSlowFactor times the median of the upstreams. */
--- a/libs/decide/tests/EstimatedLatencyTest.cpp
+++ b/libs/decide/tests/EstimatedLatencyTest.cpp
@@ -59,10 +59,10 @@
   }
 
   /** Candidates among the best `aCount` whose load report is older than 60 ms. */
-  std::vector<UpstreamAddress> staleCandidates(std::size_t aCount)
+  std::vector<UpstreamAddress> staleCandidates(std::size_t aCount, int aSlots = 0)
   {
     return mPool.staleTopCandidates(
-      mLocality, kMaxInFlight, {}, aCount, 60ms, mTime.now(), mRandom);
+      mLocality, kMaxInFlight, {}, { aCount, aSlots }, 60ms, mTime.now(), mRandom);
   }
 
   test::ManualClock& time() { return mTime; }
@@ -162,6 +162,16 @@
   CHECK(staleCandidates(2).size() == 2);
 }
 
+TEST_CASE_METHOD(Fixture, "more candidates are looked at until they have enough slots")
+{
+  CHECK(staleCandidates(1, 4).size() == 1);
+  CHECK(staleCandidates(1, 5).size() == 2);
+  CHECK(staleCandidates(1, 12).size() == 3);
+  CHECK(staleCandidates(1, 1000).size() == 4);
+  report("near-1", 0, 0, 100);
+  CHECK(staleCandidates(1, 12).size() == 2);
+}
+
 TEST_CASE_METHOD(Fixture, "an unreachable upstream is not selected during its back-off")
 {
   pool().reportUnreachable("near-1", time().now());
--- a/libs/entry/src/EntryWorker.cpp
+++ b/libs/entry/src/EntryWorker.cpp
@@ -6,17 +6,10 @@
 
 namespace {
 
-/** The shared retry burst is divided by twice the listed processes, because as many again
- * may have been added or restarted without being listed yet. */
-constexpr int kRetryBurstMargin = 2;
 constexpr int kMinConnectionsPerUpstream = 2;
 
 /** Until the first preset sets the limit. */
 constexpr int kInitialConnectionsPerUpstream = 1;
-
-/** Refused callers are told to retry after a random time in this range. */
-constexpr Duration kMinRetryAfter = std::chrono::milliseconds(50);
-constexpr Duration kMaxRetryAfter = std::chrono::milliseconds(250);
 constexpr Duration kGaugePeriod = std::chrono::milliseconds(250);
 
 } // namespace
@@ -69,12 +62,10 @@
   const auto& limits = preset->limits;
   const int workers = mTables.settings.workers;
   const int entries = limits.areSharedByAllVms ? mTables.entryCount.load() : 1;
-  const int burstShares =
-    entries * workers * (limits.areSharedByAllVms ? kRetryBurstMargin : 1);
   mUpstreamConnections.setConnectionsPerUpstream(std::max(
     kMinConnectionsPerUpstream, limits.connectionsPerUpstream / (entries * workers)));
-  // kRetryBurstMargin does not apply here: the load query budget limits the daily
-  // average, so it may be exceeded while some processes are not listed yet.
+  // The load query budget limits the daily average, so it may be exceeded while some
+  // processes are not listed yet.
   const auto queriesPerSecond =
     preset->measuring.probesPerSecond * mTables.upstreamCount / (entries * workers);
   if (mLoadQueryBudget.has_value()) {
@@ -83,7 +74,7 @@
     // Starts with a full bucket, because a new process has no load reports yet.
     mLoadQueryBudget.emplace(queriesPerSecond, queriesPerSecond);
   }
-  mRetryBudget.configure(limits.retryBudget, limits.retryBurst / burstShares);
+  mRetryBudget.configure(RetryAllowance::of(limits, entries, workers));
   if (limits.idleTimeout > Duration{ 0 }) {
     mListener->setTimeouts(limits.headerTimeout, limits.idleTimeout);
   }
@@ -132,11 +123,13 @@
 }
 
 Duration
-EntryWorker::randomRetryAfter()
+EntryWorker::retryAfterFor(const Call& aCall)
 {
-  std::uniform_int_distribution<Duration::rep> ticks(kMinRetryAfter.count(),
-                                                     kMaxRetryAfter.count());
-  return Duration(ticks(mRandom));
+  const auto now = mTimers.now();
+  return RetryAfterRange::of(aCall.deadline - now,
+                             aCall.arrivedAt + aCall.route->target - now,
+                             mTables.upstreams.typicalProcessingTime(aCall.service))
+    .draw(mRandom);
 }
 
 void
--- a/libs/entry/src/EntryWorker.h
+++ b/libs/entry/src/EntryWorker.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "Call.h"
+#include "LoadQueryId.h"
 #include "WorkerContext.h"
 #include <core/CallError.h>
+#include <decide/RetryAfterRange.h>
 #include <decide/RetryBudget.h>
 #include <decide/TrafficSplit.h>
 #include <http/HttpListener.h>
@@ -75,17 +77,14 @@
 
   // Load queries
   void queryLoads(Call& aCall);
-  void queryLoad(std::uint64_t aCall,
-                 const UpstreamAddress& aUpstream,
-                 std::string aPath);
-  void onLoadReply(std::uint64_t aCall,
+  void queryLoad(const Call& aCall, const UpstreamAddress& aUpstream, std::string aPath);
+  void onLoadReply(const LoadQueryId& aQuery,
                    const UpstreamAddress& aUpstream,
                    const http::ExchangeResult& aResult);
   void finishLoadQueries(std::uint64_t aCall);
 
   // Sending
   void sendIfReady(Call& aCall);
-  LatencyLimit latencyLimitFor(const Call& aCall) const;
   UpstreamQuery upstreamQueryFor(const Call& aCall) const;
   void send(Call& aCall);
   http::Exchange makeExchange(const Call& aCall);
@@ -138,8 +137,8 @@
   void releaseSlot(const std::string& aService);
   void eraseCall(std::uint64_t aCall);
 
-  /** A random delay, so that refused callers do not all retry at the same moment. */
-  Duration randomRetryAfter();
+  /** When a refused call's caller may come back. */
+  Duration retryAfterFor(const Call& aCall);
   void updateGauges();
   Call* findCall(std::uint64_t aCall);
 
--- a/libs/entry/src/EntryWorkerArrival.cpp
+++ b/libs/entry/src/EntryWorkerArrival.cpp
@@ -60,7 +60,7 @@
   call->responder = std::move(aResponder);
   auto& added = *call;
   mCalls[added.id] = std::move(call);
-  mRetryBudget.recordCall(added.service);
+  mRetryBudget.recordCall(added.service, added.arrivedAt, mRandom);
   startCall(added);
 }
 
@@ -72,8 +72,8 @@
   logEvent(
     LogEvent::CallRefused,
     { { "id", aMetadata.id }, { "reason", nameOf(aError) }, { "host", aMetadata.host } });
-  aResponder->respond(
-    mContext.dialect.encodeOutcome(Outcome::NotRun, aError, randomRetryAfter()));
+  aResponder->respond(mContext.dialect.encodeOutcome(
+    Outcome::NotRun, aError, RetryAfterRange().draw(mRandom)));
 }
 
 void
--- a/libs/entry/src/EntryWorkerEnding.cpp
+++ b/libs/entry/src/EntryWorkerEnding.cpp
@@ -166,6 +166,11 @@
 void
 EntryWorker::endWithError(Call& aCall, CallError aError)
 {
+  if (aCall.lastErrorResponse.has_value()) {
+    // An upstream has run the call, even if a later attempt did not.
+    endWithResponse(aCall, *std::exchange(aCall.lastErrorResponse, std::nullopt));
+    return;
+  }
   const auto outcome = aCall.mayHaveRun ? Outcome::Unknown : outcomeOf(aError);
   if (outcome != outcomeOf(aError)) {
     // The original error's status would let the caller assume that the call has not run.
@@ -180,7 +185,7 @@
   respond(aCall,
           outcome,
           nameOf(aError),
-          mContext.dialect.encodeOutcome(outcome, aError, randomRetryAfter()));
+          mContext.dialect.encodeOutcome(outcome, aError, retryAfterFor(aCall)));
   eraseCall(aCall.id);
 }
 
--- a/libs/entry/src/EntryWorkerLoadQueries.cpp
+++ b/libs/entry/src/EntryWorkerLoadQueries.cpp
@@ -12,11 +12,18 @@
 
 /** Time to wait for load reports; nearby upstreams respond within a few milliseconds. */
 constexpr Duration kMaxLoadQueryWait = std::chrono::milliseconds(12);
+
 constexpr int kMaxLoadQueryRounds = 2;
 
 /** Reports that arrive after the wait are still recorded, for later calls. */
 constexpr Duration kLoadQueryTimeout = std::chrono::milliseconds(250);
 
+LoadQueryId
+currentQuery(const Call& aCall)
+{
+  return { aCall.id, aCall.attempts, aCall.loadQueryRounds };
+}
+
 const std::string*
 healthPathOf(const Preset& aPreset, const std::string& aService)
 {
@@ -34,21 +41,28 @@
 EntryWorker::queryLoads(Call& aCall)
 {
   const auto now = mTimers.now();
-  // The first round queries the likeliest choices, which are nearby. The second queries
-  // one more upstream, if the new reports have made that one the best choice.
-  const auto n = aCall.loadQueryRounds == 0 ? aCall.preset->limits.loadQueries : 1;
+  const auto& limits = aCall.preset->limits;
+  const bool isFirstRound = aCall.loadQueryRounds == 0;
   const bool mayQuery =
-    aCall.preset->limits.loadQueries > 0 && aCall.loadQueryRounds++ < kMaxLoadQueryRounds;
+    limits.loadQueries > 0 && aCall.loadQueryRounds++ < kMaxLoadQueryRounds;
   const auto* const path =
     mayQuery ? healthPathOf(*aCall.preset, aCall.service) : nullptr;
   if (path == nullptr) {
     send(aCall);
     return;
   }
+  // The first round queries the likeliest choices, which are nearby. The second queries
+  // one more upstream, if the new reports have made that one the best choice.
+  const auto scope = isFirstRound
+                       ? LoadQueryScope{ static_cast<std::size_t>(limits.loadQueries),
+                                         limits.loadQuerySlots }
+                       : LoadQueryScope{};
   const auto stale = mTables.upstreams.staleTopCandidates(
-    upstreamQueryFor(aCall), static_cast<std::size_t>(n), kMaxReportAge, now);
+    upstreamQueryFor(aCall), scope, kMaxReportAge, now);
   const auto cost = static_cast<double>(stale.size());
-  const bool isWithinBudget = stale.empty() || mLoadQueryBudget->tryConsume(cost, now);
+  // The budget is set by a task that may run after the first calls with a new preset.
+  const bool isWithinBudget = stale.empty() || (mLoadQueryBudget.has_value() &&
+                                                mLoadQueryBudget->tryConsume(cost, now));
   if (!isWithinBudget) {
     mTables.metrics.count(Counter::LoadQueries, "over-budget");
   }
@@ -62,15 +76,16 @@
   aCall.loadQueryTimer =
     mTimers.scheduleAfter(kMaxLoadQueryWait, [this, id] { finishLoadQueries(id); });
   for (const auto& it : stale) {
-    queryLoad(id, it, *path);
+    queryLoad(aCall, it, *path);
   }
 }
 
 void
-EntryWorker::queryLoad(std::uint64_t aCall,
+EntryWorker::queryLoad(const Call& aCall,
                        const UpstreamAddress& aUpstream,
                        std::string aPath)
 {
+  const auto query = currentQuery(aCall);
   http::Exchange exchange;
   exchange.host = QHostAddress(QString::fromStdString(aUpstream.host));
   exchange.port = aUpstream.port;
@@ -79,14 +94,14 @@
   exchange.request.headers.push_back({ "Host", aUpstream.host });
   exchange.timeout = kLoadQueryTimeout;
   exchange.connectTimeout = kLoadQueryTimeout;
-  exchange.done = [this, aCall, aUpstream](const http::ExchangeResult& aResult) {
-    onLoadReply(aCall, aUpstream, aResult);
+  exchange.done = [this, query, aUpstream](const http::ExchangeResult& aResult) {
+    onLoadReply(query, aUpstream, aResult);
   };
   mUpstreamConnections.start(std::move(exchange));
 }
 
 void
-EntryWorker::onLoadReply(std::uint64_t aCall,
+EntryWorker::onLoadReply(const LoadQueryId& aQuery,
                          const UpstreamAddress& aUpstream,
                          const http::ExchangeResult& aResult)
 {
@@ -99,10 +114,13 @@
              signs.load.has_value()) {
     mTables.upstreams.reportLoad(aUpstream, *signs.load);
   }
-  auto* const call = findCall(aCall);
-  if (call != nullptr && call->stage == CallStage::QueryingLoads &&
-      --call->pendingLoadQueries == 0) {
-    finishLoadQueries(aCall);
+  auto* const call = findCall(aQuery.call);
+  if (call == nullptr || call->stage != CallStage::QueryingLoads ||
+      currentQuery(*call) != aQuery) {
+    return; // too late: the call has gone on without this reply
+  }
+  if (--call->pendingLoadQueries == 0) {
+    finishLoadQueries(aQuery.call);
   }
 }
 
--- a/libs/entry/src/EntryWorkerSending.cpp
+++ b/libs/entry/src/EntryWorkerSending.cpp
@@ -9,14 +9,6 @@
 
 constexpr int kFirstErrorStatus = 500;
 
-/** Latency limit of a call, as a multiple of its route's latency target. Under overload,
- * a call that is expected to take longer is refused, so that another can use its slot. */
-constexpr double kMaxLatencyInTargets = 2.5;
-
-/** Limit of the expected wait at an upstream, as a share of the tightest latency target
- * of more urgent ranks of the same service. */
-constexpr double kMaxWaitShareOfUrgentTarget = 0.6;
-
 /** Time to wait for an order's outcome after the call's deadline. */
 constexpr Duration kMaxSettleTime = std::chrono::seconds(30);
 
@@ -33,27 +25,6 @@
   }
 }
 
-LatencyLimit
-EntryWorker::latencyLimitFor(const Call& aCall) const
-{
-  const auto now = mTimers.now();
-  const auto target = aCall.route->target;
-  LatencyLimit limit;
-  limit.maxTotal = aCall.deadline - now;
-  if (target > Duration{ 0 }) {
-    const auto maxLatency =
-      std::chrono::duration_cast<Duration>(kMaxLatencyInTargets * target);
-    limit.maxTotal = std::min(limit.maxTotal, maxLatency - (now - aCall.arrivedAt));
-  }
-  const auto urgentTarget =
-    aCall.preset->targets.lowestMoreUrgentTarget(aCall.service, aCall.route->rank);
-  if (urgentTarget != Duration::max()) {
-    limit.maxQueueing =
-      std::chrono::duration_cast<Duration>(kMaxWaitShareOfUrgentTarget * urgentTarget);
-  }
-  return limit;
-}
-
 UpstreamQuery
 EntryWorker::upstreamQueryFor(const Call& aCall) const
 {
@@ -61,7 +32,12 @@
            aCall.route->rank,
            aCall.request.body.size() + kExpectedResponseBytes,
            aCall.excluded,
-           latencyLimitFor(aCall) };
+           LatencyLimit::of(*aCall.preset,
+                            *aCall.route,
+                            aCall.service,
+                            aCall.arrivedAt,
+                            aCall.deadline,
+                            mTimers.now()) };
 }
 
 void
@@ -74,10 +50,6 @@
   }
   const auto chosen = mTables.upstreams.choose(upstreamQueryFor(aCall), now);
   if (chosen.has_error()) {
-    if (aCall.lastErrorResponse.has_value()) {
-      endWithResponse(aCall, *std::exchange(aCall.lastErrorResponse, std::nullopt));
-      return;
-    }
     const auto error = aCall.wasShed ? CallError::UpstreamShed
                                      : static_cast<CallError>(chosen.error().value());
     endWithError(aCall, aCall.mayHaveRun ? CallError::UpstreamFailed : error);
--- a/libs/tables/include/tables/UpstreamTable.h
+++ b/libs/tables/include/tables/UpstreamTable.h
@@ -37,11 +37,12 @@
   Result<UpstreamChoice> choose(const UpstreamQuery& aQuery, Instant aNow);
 
   /**
-   * Of the `aCount` upstreams with the lowest estimated latency, those whose last load
-   * report is older than `aMaxReportAge`. Their load should be queried before choose().
+   * Of the upstreams with the lowest estimated latency, as many as `aScope` says, those
+   * whose last load report is older than `aMaxReportAge`. Their load should be queried
+   * before choose().
    */
   std::vector<UpstreamAddress> staleTopCandidates(const UpstreamQuery& aQuery,
-                                                  std::size_t aCount,
+                                                  const LoadQueryScope& aScope,
                                                   Duration aMaxReportAge,
                                                   Instant aNow);
 
@@ -60,6 +61,9 @@
   /** The upstream's instance is shutting down; calls go to others. */
   void markLeaving(const UpstreamAddress& aUpstream);
 
+  /** See UpstreamPool::typicalProcessingTime(); zero for an unknown service. */
+  Duration typicalProcessingTime(const std::string& aService) const;
+
   /** The total slots of a service in a region, excluding leaving upstreams. */
   int slotsIn(const std::string& aService, const std::string& aRegion) const;
 
--- a/libs/tables/src/UpstreamTable.cpp
+++ b/libs/tables/src/UpstreamTable.cpp
@@ -70,13 +70,13 @@
 
 std::vector<UpstreamAddress>
 UpstreamTable::staleTopCandidates(const UpstreamQuery& aQuery,
-                                  std::size_t aCount,
+                                  const LoadQueryScope& aScope,
                                   Duration aMaxReportAge,
                                   Instant aNow)
 {
   std::scoped_lock lock(mMutex);
   return mPools[aQuery.service].staleTopCandidates(
-    mLocality, mMaxInFlight, aQuery.excluded, aCount, aMaxReportAge, aNow, mRandom);
+    mLocality, mMaxInFlight, aQuery.excluded, aScope, aMaxReportAge, aNow, mRandom);
 }
 
 void
@@ -110,6 +110,14 @@
   mPools[aUpstream.service].markLeaving(aUpstream.name, aUpstream.instance);
 }
 
+Duration
+UpstreamTable::typicalProcessingTime(const std::string& aService) const
+{
+  std::scoped_lock lock(mMutex);
+  const auto it = mPools.find(aService);
+  return it == mPools.end() ? Duration{ 0 } : it->second.typicalProcessingTime();
+}
+
 int
 UpstreamTable::slotsIn(const std::string& aService, const std::string& aRegion) const
 {
--- a/tests/harness/GatewaySystem.cpp
+++ b/tests/harness/GatewaySystem.cpp
@@ -182,10 +182,8 @@
                             { "Masticwall-Request-Id", aId },
                             { "Masticwall-Request-Deadline", "2000" } };
   headers.insert(headers.end(), aMore.begin(), aMore.end());
-  return callOnce(host(kFirstGateway + aGateway),
-                  kFrontPort,
-                  makeRequest(aMethod, aPath, headers),
-                  5000);
+  return callOnce(
+    gatewayHost(aGateway), kFrontPort, makeRequest(aMethod, aPath, headers), 5000);
 }
 
 QString
@@ -212,6 +210,12 @@
   return it == runs.end() ? 0 : it->second;
 }
 
+QHostAddress
+GatewaySystem::gatewayHost(int aIndex) const
+{
+  return host(kFirstGateway + aIndex);
+}
+
 std::map<std::string, int>
 GatewaySystem::runsById() const
 {
--- a/tests/harness/GatewaySystem.h
+++ b/tests/harness/GatewaySystem.h
@@ -68,6 +68,9 @@
   /** The runs of each request, over all upstreams. */
   std::map<std::string, int> runsById() const;
   QHostAddress host(int aLast) const;
+
+  /** Where a gateway listens for callers, on kFrontPort. */
+  QHostAddress gatewayHost(int aIndex) const;
   std::string upstreamName(int aIndex) const;
 
 private:
--- a/tests/harness/LedgerFile.cpp
+++ b/tests/harness/LedgerFile.cpp
@@ -16,6 +16,8 @@
       ++ledger.probes;
     } else if (line == "after-leaving") {
       ++ledger.afterLeaving;
+    } else if (line.startsWith("failed ")) {
+      ledger.failedTargets.insert(line.split(' ').at(1).toStdString());
     } else if (line.startsWith("run ")) {
       ++ledger.runs;
       const auto key = line.split(' ').at(1).toStdString();
@@ -33,6 +35,7 @@
   runs += aOther.runs;
   probes += aOther.probes;
   afterLeaving += aOther.afterLeaving;
+  failedTargets.insert(aOther.failedTargets.begin(), aOther.failedTargets.end());
   for (const auto& [key, n] : aOther.runsByKey) {
     runsByKey[key] += n;
   }
--- a/tests/harness/LedgerFile.h
+++ b/tests/harness/LedgerFile.h
@@ -2,6 +2,7 @@
 
 #include <QString>
 #include <map>
+#include <set>
 #include <string>
 
 namespace masticwall::test {
@@ -13,6 +14,7 @@
   int runs = 0;
   int probes = 0;
   int afterLeaving = 0; ///< requests that came while the upstream was leaving
+  std::set<std::string> failedTargets; ///< of requests that it ran and answered with 500
 
   static LedgerFile read(const QString& aFile);
 
--- a/tests/integration/AnswerTest.cpp
+++ b/tests/integration/AnswerTest.cpp
@@ -144,3 +144,26 @@
   REQUIRE(order.has_value());
   CHECK(order->status == 500);
 }
+
+TEST_CASE("a lookup that an upstream has run is never reported as not run")
+{
+  SystemPlan plan;
+  plan.vms = 1;
+  plan.services = { { "orders", 1, 4 }, { "lookup", 3, 4 } };
+  TestSystem system(plan);
+  REQUIRE(system.start());
+  system.setUpstream(1, "failing=1");
+  system.setUpstream(2, "shedding=1");
+  system.setUpstream(3, "shedding=1");
+  constexpr int kLookups = 60;
+  int answered = 0;
+  for (int i = 0; i < kLookups; ++i) {
+    const auto target = "/lookup/" + std::to_string(i);
+    const auto response = system.call(0, makeRequest("GET", target));
+    REQUIRE(response.has_value());
+    const bool hasFailed = system.ledger().failedTargets.contains(target);
+    CHECK((outcomeOf(*response) == "not-run") == !hasFailed);
+    answered += hasFailed ? 1 : 0;
+  }
+  CHECK(answered > 0);
+}
--- /dev/null
+++ b/tests/model/FleetResult.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <array>
+#include <core/Rank.h>
+
+namespace masticwall::model {
+
+/** What the callers of one rank got. */
+struct RankOutcome
+{
+  int offered = 0;
+  int inTarget = 0; ///< answered within the latency target
+  int late = 0;     ///< answered after it
+  int refused = 0;  ///< told at once or later that the call has not run
+
+  double inTargetShare() const { return static_cast<double>(inTarget) / offered; }
+  double refusedShare() const { return static_cast<double>(refused) / offered; }
+};
+
+/** The outcome of a run of FleetModel. */
+struct FleetResult
+{
+  std::array<RankOutcome, kRankCount> ranks;
+  int loadQueries = 0;
+  int sent = 0;    ///< attempts that reached an upstream
+  int shed = 0;    ///< of these, rejected because the upstream was full
+  int retries = 0; ///< attempts after the first of a call
+
+  const RankOutcome& of(Rank aRank) const { return ranks[indexOf(aRank)]; }
+};
+
+} // namespace masticwall::model
--- a/tests/standins/Upstream.cpp
+++ b/tests/standins/Upstream.cpp
@@ -61,7 +61,8 @@
   if (mIsLeaving) {
     mLedger.write("after-leaving");
   }
-  if (static_cast<int>(mQueue.size()) >= mQueueLimit && mInUse >= mSlots) {
+  const bool isFull = static_cast<int>(mQueue.size()) >= mQueueLimit && mInUse >= mSlots;
+  if (isFull || mIsShedding) {
     aDone(shed());
     return;
   }
@@ -80,6 +81,8 @@
       mHidesLeaving = value.toInt() != 0;
     } else if (name == QLatin1String("failing")) {
       mIsFailing = value.toInt() != 0;
+    } else if (name == QLatin1String("shedding")) {
+      mIsShedding = value.toInt() != 0;
     } else if (name == QLatin1String("slow_factor")) {
       mSlowFactor = value.toDouble();
     } else if (name == QLatin1String("report_lag_ms")) {
@@ -104,6 +107,7 @@
 Upstream::run(const Waiting& aWaiting)
 {
   if (mIsFailing) {
+    mLedger.write("failed " + aWaiting.request.target);
     http::Response response{ 500, {}, "failing\n", true };
     addSigns(response);
     aWaiting.done(std::move(response));
--- a/tests/standins/Upstream.h
+++ b/tests/standins/Upstream.h
@@ -64,6 +64,7 @@
   Instant mStartedAt;
   bool mIsLeaving = false;
   bool mIsFailing = false;    ///< answers 500 at once
+  bool mIsShedding = false;   ///< rejects all requests as if it were full
   bool mIsPlatform = false;   ///< speaks the platform's headers
   bool mHidesLeaving = false; ///< neither its health nor its answers say that it leaves
   Duration mReportLag{ 0 };   ///< how old the load is that answers tell of
