--- a/libs/decide/include/decide/Limits.h
+++ b/libs/decide/include/decide/Limits.h
@@ -26,7 +26,7 @@
   Duration headerTimeout{ 0 }; ///< to receive a request; ignored if idleTimeout is 0
   Duration idleTimeout{ 0 };   ///< between a connection's requests; 0: as in the settings
   int loadQueries = 0;         ///< upstreams queried for their load before a call is sent
-  int loadQuerySlots = 0; ///< more are queried until they have that many slots together
+  int loadQuerySlots = 12; ///< more are queried until they have that many slots together
 
   /**
    * True: `connectionsPerUpstream` and `retryBurst` are totals, divided among the entry
--- a/libs/decide/include/decide/LoadQueryScope.h
+++ b/libs/decide/include/decide/LoadQueryScope.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <decide/Limits.h>
 
 namespace masticwall {
 
@@ -16,6 +17,17 @@
 {
   std::size_t upstreams = 1;
   int slots = 0;
+
+  /**
+   * The scope of a call's `aRound`th round of queries, from 0. The first looks at the
+   * likeliest choices; later ones only at the best, which the replies may have changed.
+   */
+  static LoadQueryScope ofRound(const Limits& aLimits, int aRound)
+  {
+    return aRound == 0 ? LoadQueryScope{ static_cast<std::size_t>(aLimits.loadQueries),
+                                         aLimits.loadQuerySlots }
+                       : LoadQueryScope{};
+  }
 };
 
 } // namespace masticwall
--- a/libs/decide/include/decide/RetryAllowance.h
+++ b/libs/decide/include/decide/RetryAllowance.h
@@ -18,7 +18,8 @@
    *
    * Where all VMs share the limits, the retries of all workers stay within them over any
    * period of at least kMinBudgetPeriod, also while processes restart or up to as many
-   * again run as are listed.
+   * again run as are listed. This holds for the expected sum over the random phases of
+   * RetryCredit, and in the worst case up to one retry more for each worker.
    */
   static RetryAllowance of(const Limits& aLimits, int aEntries, int aWorkers);
 
--- a/libs/decide/src/RetryAllowance.cpp
+++ b/libs/decide/src/RetryAllowance.cpp
@@ -10,8 +10,8 @@
  * been added without being listed yet. */
 constexpr int kUnlistedMargin = 2;
 
-/** Recent credit may be consumed in one period with the credit that the period itself
- * earns. The share of the ratio that keeps the sum within the ratio. */
+/** Part of the ratio that each call earns: recent credit may be consumed together with
+ * what the following kMinBudgetPeriod earns, and the sum must stay within the ratio. */
 constexpr double kSharedRatioPart =
   std::chrono::duration<double>(RetryAllowance::kMinBudgetPeriod) /
   (RetryAllowance::kMinBudgetPeriod +
--- a/libs/entry/src/EntryProcess.cpp
+++ b/libs/entry/src/EntryProcess.cpp
@@ -170,8 +170,8 @@
 void
 EntryProcess::Impl::requestStop()
 {
-  // A first request after the drain has started otherwise doesn't shorten it: the VM's
-  // processes are told to stop one after the other, and the feed may be faster.
+  // Only a second request ends the notice period: the VM list may already have started
+  // the drain before this process receives its own SIGTERM.
   if (std::exchange(isStopRequested, true)) {
     stopAccepting();
     return;
--- a/libs/entry/src/EntryWorkerLoadQueries.cpp
+++ b/libs/entry/src/EntryWorkerLoadQueries.cpp
@@ -42,21 +42,15 @@
 {
   const auto now = mTimers.now();
   const auto& limits = aCall.preset->limits;
-  const bool isFirstRound = aCall.loadQueryRounds == 0;
-  const bool mayQuery =
-    limits.loadQueries > 0 && aCall.loadQueryRounds++ < kMaxLoadQueryRounds;
+  const auto round = aCall.loadQueryRounds++;
+  const bool mayQuery = limits.loadQueries > 0 && round < kMaxLoadQueryRounds;
   const auto* const path =
     mayQuery ? healthPathOf(*aCall.preset, aCall.service) : nullptr;
   if (path == nullptr) {
     send(aCall);
     return;
   }
-  // The first round queries the likeliest choices, which are nearby. The second queries
-  // one more upstream, if the new reports have made that one the best choice.
-  const auto scope = isFirstRound
-                       ? LoadQueryScope{ static_cast<std::size_t>(limits.loadQueries),
-                                         limits.loadQuerySlots }
-                       : LoadQueryScope{};
+  const auto scope = LoadQueryScope::ofRound(limits, round);
   const auto stale = mTables.upstreams.staleTopCandidates(
     upstreamQueryFor(aCall), scope, kMaxReportAge, now);
   const auto cost = static_cast<double>(stale.size());
--- a/tests/model/ModelEntry.cpp
+++ b/tests/model/ModelEntry.cpp
@@ -78,11 +78,7 @@
   const auto round = call.queryRounds++;
   std::vector<UpstreamAddress> stale;
   if (round < kQueryRounds) {
-    const auto& limits = mPreset.limits;
-    const auto scope = round == 0
-                         ? LoadQueryScope{ static_cast<std::size_t>(limits.loadQueries),
-                                           limits.loadQuerySlots }
-                         : LoadQueryScope{};
+    const auto scope = LoadQueryScope::ofRound(mPreset.limits, round);
     stale = mPool.staleTopCandidates(
       mLocality, kMaxInFlight, call.excluded, scope, kMaxReportAge, mTime.now(), mRandom);
   }
