Take only a response with the request's own id for its answer

Cause: a load query accepted any response. A late copy of an earlier answer, which bears that request's id, ended it, and the connection counted as idle though the query's own answer was still to come. The next order on the connection took that answer, a 503 of the health path, since a failure without an id matched every request. Ruled out: a refusal of the admission queue and a retry's answer, as the 503 bore the instance id that only the health path sends.

Change: a load query takes only responses without a request id, a call only those with its own id, failures too; what belongs to no request is discarded, counted and logged (response-discarded), and its connection is not used again. On related paths: an order whose upstream answers 408, 429 or 503 without saying that it did not run is answered 502, as the status would be a promise.

--- a/libs/entry/include/entry/Dialect.h
+++ b/libs/entry/include/entry/Dialect.h
@@ -35,6 +35,9 @@
   {
     D::isResponseTo(aResponse, aMetadata)
     } -> std::same_as<bool>;
+  {
+    D::isLoadQueryResponse(aResponse)
+    } -> std::same_as<bool>;
   {
     D::encodeOutcome(Outcome::NotRun, CallError::Overload, aTime)
     } -> std::same_as<http::Response>;
@@ -69,6 +72,9 @@
   /** Whether a complete response belongs to the call with this metadata. */
   bool (*isResponseTo)(const http::Response&, const CallMetadata&);
 
+  /** Whether a complete response may belong to a load query, and to no call. */
+  bool (*isLoadQueryResponse)(const http::Response&);
+
   /** The response to a call that got none from an upstream. */
   http::Response (*encodeOutcome)(Outcome, CallError, Duration aRetryAfter);
 
@@ -86,9 +92,10 @@
 constexpr DialectTable
 makeDialectTable()
 {
-  return { &D::readMetadata,    &D::writeUpstreamHeaders, &D::readUpstreamReport,
-           &D::isResponseTo,    &D::encodeOutcome,        &D::encodeResponse,
-           &D::encodeHttpError, D::kEchoesRequestId,      D::kHealthPath };
+  return { &D::readMetadata,   &D::writeUpstreamHeaders, &D::readUpstreamReport,
+           &D::isResponseTo,   &D::isLoadQueryResponse,  &D::encodeOutcome,
+           &D::encodeResponse, &D::encodeHttpError,      D::kEchoesRequestId,
+           D::kHealthPath };
 }
 
 } // namespace masticwall
--- a/libs/entry/src/EntryWorker.h
+++ b/libs/entry/src/EntryWorker.h
@@ -89,6 +89,12 @@
   void send(Call& aCall);
   http::Exchange makeExchange(const Call& aCall);
   void onExchangeDone(std::uint64_t aCall, const http::ExchangeResult& aResult);
+
+  /** Logs responses that came on the exchange's connection but belong to no request.
+   * `aCallId` is "-" for a load query. */
+  static void logDiscardedResponses(const UpstreamAddress& aUpstream,
+                                    const std::string& aCallId,
+                                    const http::ExchangeResult& aResult);
   void onUpstreamResponse(Call& aCall, const http::Response& aResponse);
   void markUpstreamLeaving(const UpstreamAddress& aUpstream);
   void onExchangeFailed(Call& aCall, const http::ExchangeResult& aResult);
--- a/libs/entry/src/EntryWorkerLoadQueries.cpp
+++ b/libs/entry/src/EntryWorkerLoadQueries.cpp
@@ -88,6 +88,7 @@
   exchange.request.headers.push_back({ "Host", aUpstream.host });
   exchange.timeout = kLoadQueryTimeout;
   exchange.connectTimeout = kLoadQueryTimeout;
+  exchange.isMatchingResponse = mContext.dialect.isLoadQueryResponse;
   exchange.done = [this, query, aUpstream](const http::ExchangeResult& aResult) {
     onLoadReply(query, aUpstream, aResult);
   };
@@ -101,6 +102,7 @@
 {
   const auto now = mTimers.now();
   mTables.metrics.count(Counter::LoadQueries, aResult.error ? "failed" : "answered");
+  logDiscardedResponses(aUpstream, "-", aResult);
   if (aResult.error) {
     mTables.upstreams.reportUnreachable(aUpstream, now);
   } else if (const auto signs =
--- a/libs/entry/src/EntryWorkerSending.cpp
+++ b/libs/entry/src/EntryWorkerSending.cpp
@@ -106,6 +106,7 @@
   if (call == nullptr) {
     return;
   }
+  logDiscardedResponses(*call->upstream, call->metadata.id, aResult);
   call->exchange = 0;
   call->lastAttemptMayHaveRun = aResult.mayHaveRun;
   if (aResult.error) {
@@ -115,6 +116,19 @@
   }
 }
 
+void
+EntryWorker::logDiscardedResponses(const UpstreamAddress& aUpstream,
+                                   const std::string& aCallId,
+                                   const http::ExchangeResult& aResult)
+{
+  if (aResult.discardedResponses > 0) {
+    logEvent(LogEvent::ResponseDiscarded,
+             { { "id", aCallId },
+               { "upstream", aUpstream.name },
+               { "responses", aResult.discardedResponses } });
+  }
+}
+
 void
 EntryWorker::onUpstreamResponse(Call& aCall, const http::Response& aResponse)
 {
@@ -130,6 +144,13 @@
     onUpstreamShed(aCall);
     return;
   }
+  if (signs.isUnprovenRefusal && aCall.isOrder()) {
+    // Passed on, the status would promise the caller that the order has not run.
+    aCall.mayHaveRun = true;
+    endAttempt(aCall, AttemptOutcome::ErrorResponse);
+    endWithError(aCall, CallError::UpstreamFailed);
+    return;
+  }
   const bool isError = aResponse.status >= kFirstErrorStatus;
   endAttempt(aCall, isError ? AttemptOutcome::ErrorResponse : AttemptOutcome::Answered);
   if (isError && tryTakeRetry(aCall)) {
--- a/libs/entry/src/NativeDialect.cpp
+++ b/libs/entry/src/NativeDialect.cpp
@@ -32,6 +32,12 @@
   return true;
 }
 
+bool
+NativeDialect::isLoadQueryResponse(const http::Response& /*aResponse*/)
+{
+  return true;
+}
+
 http::Response
 NativeDialect::encodeOutcome(Outcome aOutcome, CallError aError, Duration aRetryAfter)
 {
--- a/libs/entry/src/NativeDialect.h
+++ b/libs/entry/src/NativeDialect.h
@@ -18,6 +18,7 @@
   static UpstreamReport readUpstreamReport(const http::Response& aResponse, Instant aNow);
   static bool isResponseTo(const http::Response& aResponse,
                            const CallMetadata& aMetadata);
+  static bool isLoadQueryResponse(const http::Response& aResponse);
   static http::Response encodeOutcome(Outcome aOutcome,
                                       CallError aError,
                                       Duration aRetryAfter);
--- a/libs/http/src/PooledConnection.cpp
+++ b/libs/http/src/PooledConnection.cpp
@@ -9,7 +9,7 @@
 
 /** Late responses to earlier requests may precede the right one. An upstream that sends
  * more of them than this is failing. */
-constexpr int kMaxUnexpectedResponses = 8;
+constexpr int kMaxDiscardedResponses = 8;
 
 } // namespace
 
@@ -37,6 +37,7 @@
   mExchangeId = aId;
   mExchange = std::move(aExchange);
   mIsRequestWritten = false;
+  mDiscardedResponses = 0;
   if (mIsConnected) {
     writeRequest();
     return;
@@ -161,7 +162,7 @@
   if (isMatchingResponse != nullptr && !isMatchingResponse(aResponse)) {
     // A late or unexpected response to another request; the right one may follow.
     mHasUnexpectedData = true;
-    if (++mUnexpectedResponses > kMaxUnexpectedResponses) {
+    if (++mDiscardedResponses > kMaxDiscardedResponses) {
       finish(ExchangeError::BadResponse, {});
       return;
     }
@@ -225,7 +226,7 @@
   } else {
     mObserver(*this);
   }
-  done({ aError, mIsRequestWritten, std::move(aResponse) });
+  done({ aError, mIsRequestWritten, std::move(aResponse), mDiscardedResponses });
 }
 
 void
--- a/libs/http/src/PooledConnection.h
+++ b/libs/http/src/PooledConnection.h
@@ -64,7 +64,7 @@
   TimerHandle mTimeoutTimer;
   Instant mLastActivity;
   Duration mKeepAliveTimeout = Duration::max();
-  int mUnexpectedResponses = 0; ///< complete ones that belong to no request
+  int mDiscardedResponses = 0; ///< of this exchange; see ExchangeResult
   bool mIsConnected = false;
   bool mIsRequestWritten = false;
   bool mHasUnexpectedData = false; ///< received bytes that belong to no request
--- a/libs/messages/include/messages/UpstreamReport.h
+++ b/libs/messages/include/messages/UpstreamReport.h
@@ -11,6 +11,9 @@
 struct UpstreamReport
 {
   bool isNotRun = false; ///< the request was not run
+  /** Callers take the status as a promise that the request was not run, but the upstream
+   * does not say so. */
+  bool isUnprovenRefusal = false;
   /** Another instance has the address; the request was not run. */
   bool isMisdirected = false;
   bool isLeaving = false;         ///< the upstream shuts down; send it no more calls
@@ -20,7 +23,8 @@
 
 /**
  * Reads the status and headers of a response that was received at `aNow`. Never sets
- * `isMisdirected`, which these headers can't express.
+ * `isMisdirected`, which these headers can't express, nor `isUnprovenRefusal`, as callers
+ * are told the outcome in a header of its own.
  */
 UpstreamReport
 readUpstreamReport(const http::Response& aResponse, Instant aNow);
--- a/libs/telemetry/include/telemetry/LogEvent.h
+++ b/libs/telemetry/include/telemetry/LogEvent.h
@@ -29,6 +29,7 @@
   ControlLost,       ///< the entry process lost the connection to its control process
   ControlFound,      ///< the entry process is connected to its control process
   UpstreamFailed,    ///< an attempt at a call failed
+  ResponseDiscarded, ///< an upstream sent responses that belong to no request
   UpstreamLeaving,   ///< an upstream's response says that it is shutting down
   SuspectStopped,    ///< not retried: the request is blocked, as it crashed upstreams
   OrderUnknown,      ///< an order ended with an unknown outcome
@@ -50,7 +51,7 @@
 template<>
 struct EnumTable<LogEvent>
 {
-  static constexpr std::array<EnumName<LogEvent>, 37> kEntries{ {
+  static constexpr std::array<EnumName<LogEvent>, 38> kEntries{ {
     { LogEvent::Started, "started" },
     { LogEvent::Stopped, "stopped" },
     { LogEvent::StopRequested, "stop-requested" },
@@ -72,6 +73,7 @@
     { LogEvent::ControlLost, "control-lost" },
     { LogEvent::ControlFound, "control-found" },
     { LogEvent::UpstreamFailed, "upstream-failed" },
+    { LogEvent::ResponseDiscarded, "response-discarded" },
     { LogEvent::UpstreamLeaving, "upstream-leaving" },
     { LogEvent::SuspectStopped, "suspect-stopped" },
     { LogEvent::OrderUnknown, "order-unknown" },
--- a/tests/standins/Upstream.cpp
+++ b/tests/standins/Upstream.cpp
@@ -12,6 +12,7 @@
 constexpr double kSigma = 0.8;
 constexpr double kColdFactor = 5.0;
 constexpr int kCrashExit = 42;
+constexpr const char* kRequestId = "Masticwall-Request-Id";
 
 std::string
 headerOf(const http::Request& aRequest, const char* aName)
@@ -42,6 +43,9 @@
 Upstream::handle(const http::Request& aRequest, Done aDone)
 {
   const auto path = pathOf(aRequest);
+  if (mIsPlatform) {
+    aDone = echoingRequestId(aRequest, std::move(aDone));
+  }
   if (path == QLatin1String("/standin")) {
     change(aRequest);
     aDone(okResponse("changed\n"));
@@ -53,9 +57,7 @@
   }
   if (path == QLatin1String("/health")) {
     mLedger.write("probe");
-    auto response = okResponse("ok\n");
-    addSigns(response);
-    aDone(std::move(response));
+    answerHealth(std::move(aDone));
     return;
   }
   if (mIsLeaving) {
@@ -70,6 +72,41 @@
   runNext();
 }
 
+Upstream::Done
+Upstream::echoingRequestId(const http::Request& aRequest, Done aDone)
+{
+  return [id = headerOf(aRequest, kRequestId),
+          done = std::move(aDone)](http::Response aResponse) {
+    if (!id.empty()) {
+      aResponse.headers.push_back({ kRequestId, id });
+    }
+    done(std::move(aResponse));
+  };
+}
+
+void
+Upstream::answerHealth(Done aDone)
+{
+  http::Response response{ mHealthStatus, {}, "health\n", true };
+  if (mIsHealthNotRun) {
+    response.headers.push_back({ "Masticwall-Not-Executed", "1" });
+  }
+  addSigns(response);
+  if (mHealthTime == Duration{ 0 }) {
+    aDone(std::move(response));
+    return;
+  }
+  // One after the other, as with a single slot.
+  const auto id = mNextTimer++;
+  mRunning[id] = mTimers.scheduleAfter(++mPendingHealth * mHealthTime, [=, this] {
+    const auto kept = std::move(mRunning[id]);
+    mRunning.erase(id);
+    --mPendingHealth;
+    const auto callback = aDone;
+    callback(response);
+  });
+}
+
 void
 Upstream::change(const http::Request& aRequest)
 {
@@ -85,6 +122,18 @@
       mIsShedding = value.toInt() != 0;
     } else if (name == QLatin1String("slow_factor")) {
       mSlowFactor = value.toDouble();
+    } else if (name == QLatin1String("health_status")) {
+      mHealthStatus = value.toInt();
+    } else if (name == QLatin1String("health_ms")) {
+      mHealthTime = std::chrono::milliseconds(value.toInt());
+    } else if (name == QLatin1String("health_not_run")) {
+      mIsHealthNotRun = value.toInt() != 0;
+    } else if (name == QLatin1String("copy_health")) {
+      mCopiesHealth = value.toInt() != 0;
+    } else if (name == QLatin1String("hide_load")) {
+      mHidesLoad = value.toInt() != 0;
+    } else if (name == QLatin1String("error_status")) {
+      mErrorStatus = value.toInt();
     } else if (name == QLatin1String("report_lag_ms")) {
       mReportLag = std::chrono::milliseconds(value.toInt());
     } else if (name == QLatin1String("service_ms")) {
@@ -114,7 +163,7 @@
     return;
   }
   ++mInUse;
-  const auto* const key = mIsPlatform ? "Masticwall-Request-Id" : "Idempotency-Key";
+  const auto* const key = mIsPlatform ? kRequestId : "Idempotency-Key";
   mLedger.write("run " + headerOf(aWaiting.request, key) + ' ' + aWaiting.request.method +
                 ' ' + aWaiting.request.target);
   if (headerOf(aWaiting.request, "Test-Behaviour") == "crash") {
@@ -162,10 +211,12 @@
   response.headers.push_back({ "Echo-Id", headerOf(aRequest, "Request-Id") });
   response.headers.push_back({ "Echo-Upstream", mName });
   if (mIsPlatform) {
-    const auto id = headerOf(aRequest, "Masticwall-Request-Id");
-    response.headers.push_back({ "Masticwall-Request-Id", id });
+    const auto id = headerOf(aRequest, kRequestId);
     response.headers.push_back({ "Masticwall-Server-Signature", mName + '.' + id });
   }
+  if (mErrorStatus != 0) {
+    response.status = mErrorStatus;
+  }
   response.body = aRequest.method + ' ' + aRequest.target + '\n' + aRequest.body;
   return response;
 }
@@ -197,6 +248,9 @@
   const auto& report = mReports.front();
   const auto percent = static_cast<int>(100.0 * mSlowFactor);
   aResponse.headers.push_back({ "Masticwall-Instance-Id", mName });
+  if (mHidesLoad) {
+    return;
+  }
   aResponse.headers.push_back(
     { "Masticwall-Server-Load",
       std::to_string(report.inUse) + ',' + std::to_string(report.queued) + ',' +
--- a/tests/standins/Upstream.h
+++ b/tests/standins/Upstream.h
@@ -27,6 +27,9 @@
   /** Queues or runs a request; calls back with its answer. */
   void handle(const http::Request& aRequest, Done aDone);
 
+  /** Whether connections send a second, late copy of each answer of the health path. */
+  bool copiesHealth() const { return mCopiesHealth; }
+
 private:
   struct Waiting
   {
@@ -42,6 +45,8 @@
   };
 
   void change(const http::Request& aRequest);
+  static Done echoingRequestId(const http::Request& aRequest, Done aDone);
+  void answerHealth(Done aDone);
   void runNext();
   void run(const Waiting& aWaiting);
   Duration serviceTime(const http::Request& aRequest);
@@ -67,7 +72,14 @@
   bool mIsShedding = false;   ///< rejects all requests as if it were full
   bool mIsPlatform = false;   ///< speaks the platform's headers
   bool mHidesLeaving = false; ///< neither its health nor its answers say that it leaves
-  Duration mReportLag{ 0 };   ///< how old the load is that answers tell of
+  bool mHidesLoad = false;    ///< the platform's answers don't tell its load
+  int mErrorStatus = 0;       ///< of requests that have run; 0: success
+  int mHealthStatus = 200;
+  int mPendingHealth = 0;
+  Duration mHealthTime{ 0 };    ///< until the health path answers
+  bool mIsHealthNotRun = false; ///< the health path's answers say so, as when it is full
+  bool mCopiesHealth = false;
+  Duration mReportLag{ 0 }; ///< how old the load is that answers tell of
   std::deque<Report> mReports;
   int mInUse = 0;
   std::deque<Waiting> mQueue;
--- a/tests/standins/UpstreamConnection.cpp
+++ b/tests/standins/UpstreamConnection.cpp
@@ -45,6 +45,7 @@
     }
     mParser.emplace(http::MessageLimits{});
     const auto whole = std::move(*request.value());
+    mSocket->write(std::exchange(mLateCopy, {}));
     mUpstream.handle(whole,
                      [self = shared_from_this(), whole](const http::Response& aResponse) {
                        self->answer(whole, aResponse);
@@ -70,6 +71,10 @@
     mSocket->disconnectFromHost();
     return;
   }
+  const bool isHealth = aRequest.target == "/health";
+  if (behaviour == "late-copy" || (isHealth && mUpstream.copiesHealth())) {
+    mLateCopy = bytes;
+  }
   if (behaviour == "surplus") {
     bytes += "surplus";
   }
--- a/tests/standins/UpstreamConnection.h
+++ b/tests/standins/UpstreamConnection.h
@@ -27,6 +27,7 @@
   Upstream& mUpstream;
   QTcpSocket* mSocket; ///< owned; deleted by Qt later
   QByteArray mBytes;
+  QByteArray mLateCopy; ///< of an answer; sent when the next request arrives
   std::optional<http::RequestParser> mParser;
 };
 
