Don't wait for VMs that are gone before reading the source again

Cause: after a failed read a VM waited 0.6 s longer for each VM that is ahead of it in the tree of feeds, up to eight, so that these read first and feed it. VMs that are gone stay listed and counted. Ruled out: the timeout of a read (0.6 s, already over) and a stale feed, as no peer was polled. A shorter wait would only have moved the bound: with the VMs ahead alive the wait is right.

Change: PeerReachability (libs/decide) knows which peers reply. The wait after a failed read counts only feed candidates that have replied to their last request, and is shortened when one stops replying. Feeds can't form a cycle whatever each VM believes, as every candidate is better than the VM that polls it. Log: peer-absent, peer-present.

--- a/libs/gateway/include/gateway/ConfigSync.h
+++ b/libs/gateway/include/gateway/ConfigSync.h
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <decide/FeedCursor.h>
 #include <decide/FeedTreePosition.h>
+#include <decide/PeerReachability.h>
 #include <decide/VmListMerger.h>
 #include <entry/EntryTables.h>
 #include <feed/FeedServer.h>
@@ -25,8 +26,10 @@
  * the peers in order of preference.
  *
  * A VM reads the source itself if it has no peers, or if their feeds are unreachable or
- * stale. There is no leader election: an unnecessary reader costs requests to the source
- * but does no harm. Preset versions never decrease, and the data carry the time at which
+ * stale. VMs that have not replied to this one for a while count as absent: they take no
+ * part in the order of preference, and are asked now and then until they reply. There is
+ * no leader election: an unnecessary reader costs requests to the source but does no
+ * harm. Preset versions never decrease, and the data carry the time at which
  * the source was read. Main thread.
  */
 template<ConfigSource S>
@@ -92,17 +95,24 @@
   /** Stops polling the peer, and looks for another. */
   void unsubscribe();
 
-  /** Asks the other peers for the version and age of their data. */
+  /**
+   * Asks the other peers for the version and age of their data, and one absent VM whether
+   * it is back.
+   */
   void searchPeers();
+  void searchPeer(const Vm& aVm);
   void onSearchReply(const std::string& aVm,
                      std::uint64_t aGeneration,
                      const Result<QByteArray>& aReply);
   void scheduleSearch();
 
+  /** Records whether a peer has replied, and adapts to VMs that have come or gone. */
+  void recordReachability(const std::string& aVm, bool aHasReplied);
+
   /**
-   * Computes this VM's position in the feed tree from the membership. Unless the first
-   * candidate is polled and remains the first, the current poll ends; the new first
-   * candidate is polled, or the source is read if there is none.
+   * Computes this VM's position in the feed tree from the VMs that are present. Unless
+   * the first candidate is polled and remains the first, the current poll ends; the new
+   * first candidate is polled, or the source is read if there is none.
    */
   void updateTreePosition();
   void requestFeed(const Vm& aVm, const FeedRequest& aHave, PeerClient::Callback aDone);
@@ -120,6 +130,9 @@
   void read();
   void onRead(const Result<SourceSnapshot>& aSnapshot);
   void scheduleRead();
+
+  /** After a failed read: the time until the next one. */
+  Duration readRetryDelay();
   void applyPreset(std::uint64_t aVersion, const std::string& aText);
   void applyVms(VmList aVms);
 
@@ -135,6 +148,7 @@
   SourceCache mCache;
   FeedServer<SourceCache> mFeedServer;
   FeedTreePosition mTreePosition;
+  PeerReachability mReachability;
   VmListMerger mMerger;
   FeedCursor mCursor;                    ///< position in the feed of the polled peer
   std::optional<std::size_t> mPeerIndex; ///< polled peer, in the feed candidates
@@ -145,6 +159,7 @@
   int mReadFailures = 0;              ///< consecutive failed reads of the source
   bool mIsReading = false;            ///< this VM reads the source periodically
   bool mIsReadPending = false;        ///< a read of the source is in progress
+  Instant mNextReadAt;                ///< valid while mReadTimer is active
   TimerHandle mReadTimer;
   TimerHandle mSearchTimer;
   TimerHandle mTakeOverTimer;
--- a/libs/gateway/include/gateway/ConfigSyncFeeds.h
+++ b/libs/gateway/include/gateway/ConfigSyncFeeds.h
@@ -40,6 +40,10 @@
   if (aGeneration != mGeneration) {
     return;
   }
+  recordReachability(mTreePosition.feedCandidates[aPeerIndex].name, aReply.has_value());
+  if (aGeneration != mGeneration) {
+    return; // the peer counts as absent, which ended this poll
+  }
   const auto feed =
     aReply.has_value() ? decodeFeed(aReply.value()) : Result<Feed>(aReply.error());
   mTables.metrics.count(Counter::FeedRequests,
@@ -114,11 +118,55 @@
   const auto end = hasFreshFeed ? *mPeerIndex : mTreePosition.feedCandidates.size();
   for (std::size_t i = 0; i < end; ++i) {
     if (i != mPeerIndex) {
-      requestFeed(
-        mTreePosition.feedCandidates[i],
-        { .mayWait = false },
-        [this, vm = mTreePosition.feedCandidates[i].name, generation = mGeneration](
-          const Result<QByteArray>& aReply) { onSearchReply(vm, generation, aReply); });
+      searchPeer(mTreePosition.feedCandidates[i]);
+    }
+  }
+  if (!mReachability.hasAbsent()) {
+    return;
+  }
+  const auto absent = mReachability.absentOf(mTables.membership.current());
+  if (!absent.empty()) {
+    std::uniform_int_distribution<std::size_t> index(0, absent.size() - 1);
+    searchPeer(absent[index(mRandom)]);
+  }
+}
+
+template<ConfigSource S>
+void
+ConfigSync<S>::searchPeer(const Vm& aVm)
+{
+  requestFeed(
+    aVm,
+    { .mayWait = false },
+    [this, vm = aVm.name, generation = mGeneration](const Result<QByteArray>& aReply) {
+      recordReachability(vm, aReply.has_value());
+      onSearchReply(vm, generation, aReply);
+    });
+}
+
+template<ConfigSource S>
+void
+ConfigSync<S>::recordReachability(const std::string& aVm, bool aHasReplied)
+{
+  const auto& candidates = mTreePosition.feedCandidates;
+  const auto replying = mReachability.countReplying(candidates);
+  const bool wasAbsent = mReachability.isAbsent(aVm);
+  if (aHasReplied) {
+    mReachability.recordReply(aVm);
+  } else {
+    mReachability.recordFailure(aVm, mTimers.now());
+  }
+  const bool waitsForRetry = mReadFailures > 0 && mReadTimer.isActive();
+  if (waitsForRetry && mReachability.countReplying(candidates) < replying) {
+    // The peer that was to read first is gone.
+    mNextReadAt = std::min(mNextReadAt, mTimers.now() + readRetryDelay());
+    mReadTimer = mTimers.scheduleAt(mNextReadAt, [this] { read(); });
+  }
+  const bool isAbsent = mReachability.isAbsent(aVm);
+  if (isAbsent != wasAbsent) {
+    logEvent(isAbsent ? LogEvent::PeerAbsent : LogEvent::PeerPresent, { { "vm", aVm } });
+    if (mTables.membership.revision() > 0) {
+      updateTreePosition(); // before the first list, the candidates are the seeds
     }
   }
 }
@@ -162,7 +210,8 @@
 {
   mSearchTimer.cancel();
   const bool isFirstPeer = mPeerIndex == std::size_t{ 0 } && !mIsReading;
-  if (mTreePosition.feedCandidates.empty() || isFirstPeer) {
+  const bool hasBestFeed = mTreePosition.feedCandidates.empty() || isFirstPeer;
+  if (hasBestFeed && !mReachability.hasAbsent()) {
     return;
   }
   const bool hasNoFeed = !mPeerIndex.has_value() && !mIsReading;
@@ -179,7 +228,8 @@
 void
 ConfigSync<S>::updateTreePosition()
 {
-  auto order = feedTreePositionOf(mOwnVm, mTables.membership.current());
+  auto order =
+    feedTreePositionOf(mOwnVm, mReachability.presentOf(mTables.membership.current()));
   if (order == mTreePosition) {
     return;
   }
@@ -195,9 +245,9 @@
   mPeerIndex.reset();
   if (mTreePosition.feedCandidates.empty()) {
     startReading();
-    return;
+  } else {
+    pollFeed(0);
   }
-  pollFeed(0);
   scheduleSearch();
 }
 
--- a/libs/gateway/include/gateway/ConfigSyncReading.h
+++ b/libs/gateway/include/gateway/ConfigSyncReading.h
@@ -145,13 +145,18 @@
   if (!mIsReading) {
     return;
   }
-  // While the source is unreachable, the VMs that come before this one in taking over
-  // retry more often.
-  const auto steps =
-    static_cast<int>(std::min(mTreePosition.vmsAhead, kMaxReadRetrySteps));
-  const auto delay =
-    mReadFailures > 0 ? withJitter(kReadRetryDelay * (1 + steps)) : kReadPeriod;
-  mReadTimer = mTimers.scheduleAfter(delay, [this] { read(); });
+  mNextReadAt = mTimers.now() + (mReadFailures > 0 ? readRetryDelay() : kReadPeriod);
+  mReadTimer = mTimers.scheduleAt(mNextReadAt, [this] { read(); });
+}
+
+template<ConfigSource S>
+Duration
+ConfigSync<S>::readRetryDelay()
+{
+  // The peers that this VM would be fed by retry more often, as long as they reply.
+  const auto steps = std::min(mReachability.countReplying(mTreePosition.feedCandidates),
+                              kMaxReadRetrySteps);
+  return withJitter(kReadRetryDelay * (1 + static_cast<int>(steps)));
 }
 
 template<ConfigSource S>
@@ -204,6 +209,7 @@
     logEvent(LogEvent::SourceChanged,
              { { "vms", aVms.size() }, { "age_ms", toMilliseconds(mCache.age()) } });
     mCache.putVms(aVms);
+    mReachability.retain(aVms);
     mOnChange();
   }
   updateTreePosition();
--- a/libs/gateway/include/gateway/ConfigSyncTimings.h
+++ b/libs/gateway/include/gateway/ConfigSyncTimings.h
@@ -15,8 +15,8 @@
 inline constexpr Duration kReadRetryDelay = std::chrono::milliseconds(600);
 
 /**
- * kReadRetryDelay is added once for each VM that takes over reading before this one (see
- * FeedTreePosition::vmsAhead), up to this many times.
+ * kReadRetryDelay is added once for each feed candidate that replies to this VM, and so
+ * will pass on what it reads, up to this many times.
  */
 inline constexpr std::size_t kMaxReadRetrySteps = 8;
 
--- a/libs/telemetry/include/telemetry/LogEvent.h
+++ b/libs/telemetry/include/telemetry/LogEvent.h
@@ -44,6 +44,8 @@
   SourceChanged,   ///< the VM list from the source or a peer's feed has changed (gateway)
   SourceTakenOver, ///< this VM starts reading the source instead of a peer's feed
   FeedLost,        ///< a request to a peer for its feed failed
+  PeerAbsent,      ///< another VM has not replied for a while; its feed is not waited for
+  PeerPresent,     ///< an absent VM replies again
   RecordBad,       ///< a record of the source could not be decoded and was skipped
   Suppressed,      ///< lines of another event exceeded its rate limit
 };
@@ -51,7 +53,7 @@
 template<>
 struct EnumTable<LogEvent>
 {
-  static constexpr std::array<EnumName<LogEvent>, 38> kEntries{ {
+  static constexpr std::array<EnumName<LogEvent>, 40> kEntries{ {
     { LogEvent::Started, "started" },
     { LogEvent::Stopped, "stopped" },
     { LogEvent::StopRequested, "stop-requested" },
@@ -88,6 +90,8 @@
     { LogEvent::SourceChanged, "source-changed" },
     { LogEvent::SourceTakenOver, "source-taken-over" },
     { LogEvent::FeedLost, "feed-lost" },
+    { LogEvent::PeerAbsent, "peer-absent" },
+    { LogEvent::PeerPresent, "peer-present" },
     { LogEvent::RecordBad, "record-bad" },
     { LogEvent::Suppressed, "suppressed" },
   } };
