Honour what upstreams say of themselves: leaving, and a pause that they ask for

An upstream's answer with Server-Leaving (or Upstream-Leaving) marks its instance, until that instance is gone, whatever lists, reloads and feeds say; idle connections to it are closed. A 503 with Retry-After holds its instance off for so long: no call, retry, trial call or load query is sent to it, also if no other upstream is eligible; the returns are spread over a further quarter of the time (at most a second) and go through slow start. Before, Retry-After was ignored, and upstreams in back-off were used again as soon as no other was eligible.

LeavingInstances, HoldOffs and ServiceAvailability (libs/decide) decide; all paths ask UpstreamState::acceptsRequests(), the last time just before the first byte is written, after which a call chooses again with its attempts untouched. When no upstream of a service accepts requests, calls are refused at arrival and those that wait in the admission queue at once (held-off, no-upstream), with a Retry-After from the earliest return, urgent callers first, within a third of the time left.

Weighed for the end of many hold-offs: all at the same instant (fills the upstream again: 300 VMs in one step), a spread by rank (the upstream asked for a pause, not for an order), the spread by chance with slow start (taken: less than a tenth of 300 VMs in any 10 ms).

The control process of the native system does not hold off its probes yet.

--- a/libs/core/include/core/CallError.h
+++ b/libs/core/include/core/CallError.h
@@ -22,6 +22,7 @@
   QueueTimeout,     ///< the deadline passed before the call was sent to an upstream
   DeadlinePassed,   ///< sent, but no complete response by the deadline
   NoUpstream,       ///< no upstream is available, or none could be connected to
+  HeldOff,          ///< every upstream leaves or wants no requests for a time
   ClaimUnavailable, ///< the shared log could not be read or written in time
   Leaving,          ///< this process is shutting down; currently unused
   Suspect,          ///< blocked: upstreams crashed while they ran this request
@@ -36,7 +37,7 @@
 struct EnumTable<CallError>
 {
   static constexpr const char* kCategory = "call";
-  static constexpr std::array<EnumName<CallError>, 17> kEntries{ {
+  static constexpr std::array<EnumName<CallError>, 18> kEntries{ {
     { CallError::BadRequest, "bad-request" },
     { CallError::NoRoute, "no-route" },
     { CallError::MissingKey, "missing-idempotency-key" },
@@ -46,6 +47,7 @@
     { CallError::QueueTimeout, "queue-timeout" },
     { CallError::DeadlinePassed, "deadline-passed" },
     { CallError::NoUpstream, "no-upstream" },
+    { CallError::HeldOff, "held-off" },
     { CallError::ClaimUnavailable, "claim-unavailable" },
     { CallError::Leaving, "leaving" },
     { CallError::Suspect, "suspect-request" },
--- a/libs/decide/include/decide/RetryAfterRange.h
+++ b/libs/decide/include/decide/RetryAfterRange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <core/RandomSource.h>
+#include <core/Rank.h>
 #include <core/Time.h>
 
 namespace masticwall {
@@ -27,6 +28,13 @@
                             Duration aTimeToTarget,
                             Duration aProcessingTime);
 
+  /**
+   * For a call that was refused as no upstream accepts requests before `aHoldOff` has
+   * passed. Callers of urgent calls come back first. A caller that can't wait so long
+   * comes back as late as it can.
+   */
+  static RetryAfterRange afterHoldOff(Duration aTimeLeft, Duration aHoldOff, Rank aRank);
+
   template<RandomSource R>
   Duration draw(R& aRandom) const
   {
--- /dev/null
+++ b/libs/decide/include/decide/ServiceAvailability.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <core/Time.h>
+#include <optional>
+
+namespace masticwall {
+
+/**
+ * Whether any upstream of a service takes requests now. If none does, a call can't be
+ * served and is refused at once.
+ */
+struct ServiceAvailability
+{
+  bool isAvailable = false;
+  /** If not available: when the first held-off upstream takes requests again. Empty if
+   * all upstreams leave, or none is listed. */
+  std::optional<Instant> nextAt;
+};
+
+} // namespace masticwall
--- a/libs/decide/include/decide/UpstreamPool.h
+++ b/libs/decide/include/decide/UpstreamPool.h
@@ -6,9 +6,12 @@
 #include <decide/CandidateSelection.h>
 #include <decide/EstimatedLatency.h>
 #include <decide/FewestInFlight.h>
+#include <decide/HoldOffs.h>
 #include <decide/LatencyLimit.h>
+#include <decide/LeavingInstances.h>
 #include <decide/LoadBalancingPolicy.h>
 #include <decide/LoadQueryScope.h>
+#include <decide/ServiceAvailability.h>
 #include <decide/SlotShare.h>
 #include <limits>
 #include <memory>
@@ -37,9 +40,9 @@
    * Selects an upstream in `aRegion` (empty: in any) by `aPolicy` and counts a call in
    * flight to it; null if none is eligible. EstimatedLatency selects at random here, as
    * it needs a Locality; use chooseLowestLatency() for it. Not eligible are upstreams
-   * that are leaving or named in `aExcluded` (as already tried for this call), those with
-   * `aMaxInFlight` calls (fewer during slow start), and slow ones between trial calls.
-   * Upstreams in back-off are used only if no other is eligible.
+   * that are leaving, held off, or named in `aExcluded` (as already tried for this call),
+   * those with `aMaxInFlight` calls (fewer during slow start), and slow ones between
+   * trial calls. Upstreams in back-off are used only if no other is eligible.
    */
   template<RandomSource R>
   const UpstreamState* choose(LoadBalancingPolicy aPolicy,
@@ -151,10 +154,33 @@
   void reportLoad(std::string_view aName, const LoadReport& aLoad);
 
   /**
-   * Sends no new calls to this instance of `aName`, until another instance of that name
-   * is listed.
+   * Sends no new requests to this instance, however it is listed from now on. Returns
+   * false if that was known.
    */
-  void markLeaving(std::string_view aName, std::string_view aInstance);
+  bool markLeaving(const UpstreamAddress& aUpstream, Instant aNow);
+
+  /**
+   * Sends no requests to this instance for `aDuration` and a random part of it. Returns
+   * when it gets requests again.
+   */
+  template<RandomSource R>
+  Instant holdOff(const UpstreamAddress& aUpstream,
+                  Duration aDuration,
+                  Instant aNow,
+                  R& aRandom)
+  {
+    const auto until = mHoldOffs.extend(aUpstream, aDuration, aNow, aRandom);
+    if (auto* const state = findInstance(aUpstream)) {
+      state->heldOffUntil = until;
+      state->slowStartAt = std::max(state->slowStartAt, until);
+    }
+    return until;
+  }
+
+  /** Whether this instance is listed and takes requests. */
+  bool acceptsRequests(const UpstreamAddress& aUpstream, Instant aNow) const;
+
+  ServiceAvailability availability(Instant aNow) const;
 
   /** The regions that have upstreams, after `aLocalRegion`, which always comes first. */
   std::vector<std::string> regions(std::string_view aLocalRegion) const;
@@ -238,6 +264,7 @@
                                              Instant aNow);
 
   UpstreamState* find(std::string_view aName);
+  UpstreamState* findInstance(const UpstreamAddress& aUpstream) const;
 
   /** True if the mean latency exceeds kSlowFactor times the median of the upstreams. */
   bool isSlow(const UpstreamState& aState) const;
@@ -252,7 +279,8 @@
   void updateMedianLatency();
 
   std::vector<std::unique_ptr<UpstreamState>> mStates;
-  std::vector<UpstreamAddress> mLeavingInstances; ///< instances passed to markLeaving()
+  LeavingInstances mLeavingInstances;
+  HoldOffs mHoldOffs;
   Duration mMedianLatency{ 0 }; ///< of the upstreams' mean latencies; 0: too few samples
   double mMeanProcessingTimePercent =
     100.0; ///< moving average of LoadReport::processingTimePercent
--- a/libs/decide/include/decide/UpstreamState.h
+++ b/libs/decide/include/decide/UpstreamState.h
@@ -19,8 +19,13 @@
   int failuresInARow = 0; ///< of attempts (5xx too) and load queries; reset by Answered
   Instant backOffUntil;   ///< used until then only if no other is eligible; set after
                           ///< failures and shedding
-  Instant firstSeenAt;    ///< when this instance was first listed; starts its slow start
-  bool leaving = false;   ///< gets no new calls
+  Instant slowStartAt;    ///< when it was first listed, or its last hold-off ended
+  Instant heldOffUntil;   ///< as it asked for with a refusal; see HoldOffs
+  bool leaving = false;
+
+  /** False for an upstream that leaves or is held off: it gets no calls, trial calls or
+   * load queries, even if no other is eligible. */
+  bool acceptsRequests(Instant aNow) const { return !leaving && heldOffUntil <= aNow; }
 };
 
 } // namespace masticwall
--- a/libs/decide/src/AdmissionQueue.cpp
+++ b/libs/decide/src/AdmissionQueue.cpp
@@ -95,6 +95,18 @@
          aNow - aRequest.arrivedAt > mPolicies[indexOf(aRequest.rank)].target;
 }
 
+std::vector<AdmissionRequest>
+AdmissionQueue::removeWaiting()
+{
+  std::vector<AdmissionRequest> removed;
+  for (auto& queue : mWaiting) {
+    while (queue.size() > 0) {
+      removed.push_back(*queue.pop());
+    }
+  }
+  return removed;
+}
+
 bool
 AdmissionQueue::cancel(const AdmissionRequest& aRequest)
 {
--- a/libs/decide/src/RetryAfterRange.cpp
+++ b/libs/decide/src/RetryAfterRange.cpp
@@ -12,6 +12,15 @@
  * upstream may be slow or have a queue. */
 constexpr int kTimeForSecondTry = 2;
 
+/** After a hold-off, the callers of each rank come back over such a time, one rank after
+ * the other. */
+constexpr Duration kReturnWindow = std::chrono::milliseconds(200);
+
+/** Callers that can't wait for the end of a hold-off come back in the last quarter of the
+ * time that they can wait. */
+constexpr int kEarliestNumerator = 3;
+constexpr int kEarliestDenominator = 4;
+
 } // namespace
 
 RetryAfterRange
@@ -24,4 +33,20 @@
   return range;
 }
 
+RetryAfterRange
+RetryAfterRange::afterHoldOff(Duration aTimeLeft, Duration aHoldOff, Rank aRank)
+{
+  const auto latest = std::max(Duration{ 0 }, aTimeLeft / kMaxPartOfTimeLeft);
+  const auto first = aHoldOff + static_cast<int>(indexOf(aRank)) * kReturnWindow;
+  RetryAfterRange range;
+  if (first <= latest) {
+    range.min = first;
+    range.max = std::min(first + kReturnWindow, latest);
+  } else {
+    range.min = latest * kEarliestNumerator / kEarliestDenominator;
+    range.max = latest;
+  }
+  return range;
+}
+
 } // namespace masticwall
--- a/libs/decide/src/UpstreamPool.cpp
+++ b/libs/decide/src/UpstreamPool.cpp
@@ -47,7 +47,7 @@
 int
 slowStartLimit(const UpstreamState& aState, int aMaxInFlight, Instant aNow)
 {
-  const auto age = aNow - aState.firstSeenAt;
+  const auto age = std::max(Duration{ 0 }, aNow - aState.slowStartAt);
   if (age >= kSlowStartPeriod) {
     return aMaxInFlight;
   }
@@ -63,6 +63,8 @@
                      Instant aNow)
 {
   const bool isFirstList = mStates.empty();
+  mLeavingInstances.onListed(aAddresses, aNow);
+  mHoldOffs.removeEnded(aNow);
   std::vector<std::unique_ptr<UpstreamState>> states;
   for (const auto& it : aAddresses) {
     const auto known =
@@ -75,21 +77,14 @@
     } else {
       state = std::make_unique<UpstreamState>();
       // Upstreams of the first list were running before this process: no slow start.
-      state->firstSeenAt = isFirstList ? aNow - kSlowStartPeriod : aNow;
+      state->slowStartAt = isFirstList ? aNow - kSlowStartPeriod : aNow;
     }
     state->address = it;
     state->slots = std::max(1, it.slots > 0 ? it.slots : aSlots);
-    state->leaving =
-      std::any_of(mLeavingInstances.begin(),
-                  mLeavingInstances.end(),
-                  [&](const auto& aLeaving) { return aLeaving.isSameInstance(it); });
+    state->leaving = mLeavingInstances.contains(it);
+    state->heldOffUntil = std::max(state->heldOffUntil, mHoldOffs.until(it));
     states.push_back(std::move(state));
   }
-  std::erase_if(mLeavingInstances, [&](const UpstreamAddress& aAddress) {
-    return std::any_of(aAddresses.begin(), aAddresses.end(), [&](const auto& aListed) {
-      return aListed.name == aAddress.name && aListed.instance != aAddress.instance;
-    });
-  });
   mStates = std::move(states);
 }
 
@@ -157,15 +152,37 @@
   }
 }
 
-void
-UpstreamPool::markLeaving(std::string_view aName, std::string_view aInstance)
+bool
+UpstreamPool::markLeaving(const UpstreamAddress& aUpstream, Instant aNow)
 {
-  auto* const state = find(aName);
-  if (state == nullptr || state->leaving || state->address.instance != aInstance) {
-    return;
+  const bool isNew = mLeavingInstances.mark(aUpstream, aNow);
+  if (auto* const state = findInstance(aUpstream)) {
+    state->leaving = true;
   }
-  state->leaving = true;
-  mLeavingInstances.push_back(state->address);
+  return isNew;
+}
+
+bool
+UpstreamPool::acceptsRequests(const UpstreamAddress& aUpstream, Instant aNow) const
+{
+  const auto* const state = findInstance(aUpstream);
+  return state != nullptr && state->acceptsRequests(aNow);
+}
+
+ServiceAvailability
+UpstreamPool::availability(Instant aNow) const
+{
+  ServiceAvailability availability;
+  for (const auto& it : mStates) {
+    if (it->acceptsRequests(aNow)) {
+      return { true, std::nullopt };
+    }
+    if (!it->leaving) {
+      availability.nextAt =
+        std::min(availability.nextAt.value_or(it->heldOffUntil), it->heldOffUntil);
+    }
+  }
+  return availability;
 }
 
 std::vector<std::string>
@@ -219,7 +236,7 @@
   for (const auto& it : mStates) {
     const bool isExcluded =
       std::find(aExcluded.begin(), aExcluded.end(), it->address.name) != aExcluded.end();
-    if (it->leaving || isExcluded ||
+    if (!it->acceptsRequests(aNow) || isExcluded ||
         (!aRegion.empty() && it->address.region != aRegion) ||
         it->inFlight >= slowStartLimit(*it, aMaxInFlight, aNow) ||
         (isSlow(*it) && (it->inFlight > 0 || aNow < it->nextTrialAt))) {
@@ -285,4 +302,14 @@
   return it == mStates.end() ? nullptr : it->get();
 }
 
+UpstreamState*
+UpstreamPool::findInstance(const UpstreamAddress& aUpstream) const
+{
+  const auto it = std::find_if(mStates.begin(), mStates.end(), [&](const auto& aState) {
+    return aState->address.name == aUpstream.name &&
+           aState->address.instance == aUpstream.instance;
+  });
+  return it == mStates.end() ? nullptr : it->get();
+}
+
 } // namespace masticwall
--- a/libs/decide/tests/AdmissionQueueTest.cpp
+++ b/libs/decide/tests/AdmissionQueueTest.cpp
@@ -169,3 +169,19 @@
   CHECK(release.expired.size() == 2);
   CHECK(fixture.queue().inFlight() == 0);
 }
+
+TEST_CASE("all waiting calls can be removed, the most urgent first")
+{
+  Fixture fixture(1);
+  fixture.offer(Rank::Bulk);
+  fixture.offer(Rank::Bulk, 1);
+  fixture.offer(Rank::Urgent, 2);
+  fixture.offer(Rank::Standard, 3);
+  const auto removed = fixture.queue().removeWaiting();
+  REQUIRE(removed.size() == 3);
+  CHECK(removed[0].rank == Rank::Urgent);
+  CHECK(removed[1].rank == Rank::Standard);
+  CHECK(removed[2].rank == Rank::Bulk);
+  CHECK(fixture.queue().inFlight() == 1);
+  CHECK(fixture.releaseAfter(1ms).empty());
+}
--- a/libs/decide/tests/RetryAfterRangeTest.cpp
+++ b/libs/decide/tests/RetryAfterRangeTest.cpp
@@ -34,3 +34,26 @@
   CHECK(early > 0.45 * kCallers);
   CHECK(early < 0.55 * kCallers);
 }
+
+TEST_CASE("after a hold-off callers return once it is over, urgent ones first")
+{
+  const auto urgent = RetryAfterRange::afterHoldOff(30s, 2s, Rank::Urgent);
+  const auto standard = RetryAfterRange::afterHoldOff(30s, 2s, Rank::Standard);
+  const auto bulk = RetryAfterRange::afterHoldOff(30s, 2s, Rank::Bulk);
+  CHECK(urgent.min == 2s);
+  CHECK(urgent.max > urgent.min);
+  CHECK(standard.min >= urgent.max);
+  CHECK(bulk.min >= standard.max);
+}
+
+TEST_CASE("a caller that can't wait for the end of a hold-off returns as late as it can")
+{
+  for (const auto holdOff : { 1s, 60s, 100000s }) {
+    const auto range = RetryAfterRange::afterHoldOff(1500ms, holdOff, Rank::Urgent);
+    CHECK(range.max == 500ms);
+    CHECK(range.min < range.max);
+    CHECK(range.min >= 375ms);
+  }
+  CHECK(RetryAfterRange::afterHoldOff(0ms, 1s, Rank::Bulk).max == 0ms);
+  CHECK(RetryAfterRange::afterHoldOff(-5ms, 1s, Rank::Bulk).max == 0ms);
+}
--- a/libs/decide/tests/UpstreamPoolTest.cpp
+++ b/libs/decide/tests/UpstreamPoolTest.cpp
@@ -140,7 +140,7 @@
 TEST_CASE("a leaving upstream gets no calls until another instance of it is listed")
 {
   Fixture fixture;
-  fixture.pool().markLeaving("a", "1");
+  fixture.pool().markLeaving({ "a", "s", "sertao", "", 1, "1" }, fixture.time().now());
   fixture.setUpstreams({ "a", "b", "c" }, "1");
   CHECK(fixture.countChoices(100, LoadBalancingPolicy::Random)["a"] == 0);
   fixture.setUpstreams({ "a", "b", "c" }, "2");
--- a/libs/entry/src/Call.h
+++ b/libs/entry/src/Call.h
@@ -57,7 +57,10 @@
   std::vector<CallAttempt> history; ///< all attempts, the current one last
   bool lastAttemptMayHaveRun = false;
   std::optional<http::Response> lastErrorResponse; ///< returned if no retry succeeds
-  bool wasShed = false;    ///< an upstream has rejected an attempt without running it
+  bool wasShed = false; ///< an upstream has rejected an attempt without running it
+  /** Until an upstream of the service accepts requests; set when the call ends as not
+   * run while all are held off. */
+  Duration heldOffFor{ 0 };
   bool mayHaveRun = false; ///< an attempt without a response may have run
   TimerHandle deadlineTimer;
 
--- a/libs/entry/src/CallLog.cpp
+++ b/libs/entry/src/CallLog.cpp
@@ -55,7 +55,8 @@
              { "stage", nameOf(aCall.stage) },
              { "took_ms", toMilliseconds(aNow - aCall.arrivedAt) },
              { "allowed_ms", toMilliseconds(aCall.deadline - aCall.arrivedAt) },
-             { "attempts", aCall.history.size() } });
+             { "attempts", aCall.history.size() },
+             { "held_off_ms", toMilliseconds(aCall.heldOffFor) } });
   for (std::size_t i = 0; i < aCall.history.size(); ++i) {
     logAttempt(aCall, aCall.history[i], i + 1);
   }
--- a/libs/entry/src/EntryWorker.cpp
+++ b/libs/entry/src/EntryWorker.cpp
@@ -126,6 +126,11 @@
 EntryWorker::retryAfterFor(const Call& aCall)
 {
   const auto now = mTimers.now();
+  if (aCall.heldOffFor > Duration{ 0 }) {
+    return RetryAfterRange::afterHoldOff(
+             aCall.deadline - now, aCall.heldOffFor, aCall.route->rank)
+      .draw(mRandom);
+  }
   return RetryAfterRange::of(aCall.deadline - now,
                              aCall.arrivedAt + aCall.route->target - now,
                              mTables.upstreams.typicalProcessingTime(aCall.service))
--- a/libs/entry/src/EntryWorker.h
+++ b/libs/entry/src/EntryWorker.h
@@ -2,6 +2,7 @@
 
 #include "Call.h"
 #include "LoadQueryId.h"
+#include "ReportSource.h"
 #include "WorkerContext.h"
 #include <core/CallError.h>
 #include <decide/RetryAfterRange.h>
@@ -96,7 +97,6 @@
                                     const std::string& aCallId,
                                     const http::ExchangeResult& aResult);
   void onUpstreamResponse(Call& aCall, const http::Response& aResponse);
-  void markUpstreamLeaving(const UpstreamAddress& aUpstream);
   void onExchangeFailed(Call& aCall, const http::ExchangeResult& aResult);
   void onUpstreamShed(Call& aCall);
 
@@ -104,6 +104,31 @@
   bool tryTakeRetry(const Call& aCall);
   void retryOrEnd(Call& aCall, CallError aError);
 
+  /** The upstream stopped accepting requests before the call was written: chooses again,
+   * as if the attempt had not been made. */
+  void chooseAgain(Call& aCall);
+
+  // Reports of upstreams about themselves
+  void applyReport(const UpstreamAddress& aUpstream,
+                   const UpstreamReport& aReport,
+                   ReportSource aSource);
+  void markUpstreamLeaving(const UpstreamAddress& aUpstream, ReportSource aSource);
+  void holdOffUpstream(const UpstreamAddress& aUpstream,
+                       Duration aDuration,
+                       ReportSource aSource);
+
+  /** Refuses the waiting calls of a service without any upstream that accepts requests.
+   */
+  void refuseWaitingIfUnavailable(const std::string& aService);
+  void onUnavailable(std::uint64_t aCall);
+
+  /** Ends a call that no upstream can run, as all leave or are held off. */
+  void endAsUnavailable(Call& aCall);
+
+  /** Until the first held-off upstream of a service accepts requests; 0 if any accepts
+   * them now, or none ever will. */
+  Duration timeUntilAvailable(const std::string& aService) const;
+
   // Upstream crashes
   /** After a lost connection: reports a crash if the upstream's port is closed. */
   void checkForCrash(Call& aCall);
--- a/libs/entry/src/EntryWorkerArrival.cpp
+++ b/libs/entry/src/EntryWorkerArrival.cpp
@@ -141,6 +141,10 @@
 void
 EntryWorker::requestAdmission(Call& aCall)
 {
+  if (!mTables.upstreams.availability(aCall.service, mTimers.now()).isAvailable) {
+    endAsUnavailable(aCall);
+    return;
+  }
   const auto admission =
     mTables.admission.offer(aCall.service, aCall.admissionRequest, mTimers.now());
   if (admission.displaced.has_value()) {
--- a/libs/entry/src/EntryWorkerLoadQueries.cpp
+++ b/libs/entry/src/EntryWorkerLoadQueries.cpp
@@ -1,4 +1,5 @@
 #include "EntryWorker.h"
+#include <http/ExchangeError.h>
 
 // The part of EntryWorker that queries upstreams for their load before a call is sent.
 // Upstreams' load and speed change within milliseconds, and the responses to the calls of
@@ -89,6 +90,9 @@
   exchange.timeout = kLoadQueryTimeout;
   exchange.connectTimeout = kLoadQueryTimeout;
   exchange.isMatchingResponse = mContext.dialect.isLoadQueryResponse;
+  exchange.canStillSend = [this, aUpstream] {
+    return mTables.upstreams.acceptsRequests(aUpstream, mTimers.now());
+  };
   exchange.done = [this, query, aUpstream](const http::ExchangeResult& aResult) {
     onLoadReply(query, aUpstream, aResult);
   };
@@ -103,12 +107,13 @@
   const auto now = mTimers.now();
   mTables.metrics.count(Counter::LoadQueries, aResult.error ? "failed" : "answered");
   logDiscardedResponses(aUpstream, "-", aResult);
-  if (aResult.error) {
+  const bool wasSent = aResult.error != ExchangeError::NotSent;
+  if (aResult.error && wasSent) {
     mTables.upstreams.reportUnreachable(aUpstream, now);
-  } else if (const auto signs =
-               mContext.dialect.readUpstreamReport(aResult.response, now);
-             signs.load.has_value()) {
-    mTables.upstreams.reportLoad(aUpstream, *signs.load);
+  } else if (!aResult.error) {
+    applyReport(aUpstream,
+                mContext.dialect.readUpstreamReport(aResult.response, now),
+                ReportSource::LoadQuery);
   }
   auto* const call = findCall(aQuery.call);
   if (call == nullptr || call->stage != CallStage::QueryingLoads ||
--- a/libs/entry/src/EntryWorkerSending.cpp
+++ b/libs/entry/src/EntryWorkerSending.cpp
@@ -50,6 +50,13 @@
   }
   const auto chosen = mTables.upstreams.choose(upstreamQueryFor(aCall), now);
   if (chosen.has_error()) {
+    const bool hasNothingToReport =
+      !aCall.wasShed && !aCall.mayHaveRun && !aCall.lastErrorResponse.has_value();
+    if (hasNothingToReport && chosen.error() == CallError::NoUpstream &&
+        !mTables.upstreams.availability(aCall.service, now).isAvailable) {
+      endAsUnavailable(aCall);
+      return;
+    }
     const auto error = aCall.wasShed ? CallError::UpstreamShed
                                      : static_cast<CallError>(chosen.error().value());
     endWithError(aCall, aCall.mayHaveRun ? CallError::UpstreamFailed : error);
@@ -84,15 +91,19 @@
       [isResponseTo = mContext.dialect.isResponseTo, metadata = aCall.metadata](
         const http::Response& aResponse) { return isResponseTo(aResponse, metadata); };
   }
-  if (aCall.isClaimedOrder()) {
-    const auto sequence = aCall.claim.sequence;
-    const auto deadline = aCall.deadline;
-    // Checked just before the first byte is written, because the process may have been
-    // paused since the call was started.
-    exchange.canStillSend = [this, sequence, deadline] {
-      return mTimers.now() < deadline && mTables.orders.markSent(sequence);
-    };
-  }
+  // Checked just before the first byte is written: while the connection was opened, the
+  // upstream may have refused other calls, or this process may have been paused.
+  exchange.canStillSend = [this,
+                           upstream = *aCall.upstream,
+                           isClaimedOrder = aCall.isClaimedOrder(),
+                           sequence = aCall.claim.sequence,
+                           deadline = aCall.deadline] {
+    const auto now = mTimers.now();
+    if (!mTables.upstreams.acceptsRequests(upstream, now)) {
+      return false;
+    }
+    return !isClaimedOrder || (now < deadline && mTables.orders.markSent(sequence));
+  };
   exchange.done = [this, id](const http::ExchangeResult& aResult) {
     onExchangeDone(id, aResult);
   };
@@ -133,13 +144,7 @@
 EntryWorker::onUpstreamResponse(Call& aCall, const http::Response& aResponse)
 {
   const auto signs = mContext.dialect.readUpstreamReport(aResponse, mTimers.now());
-  const auto& upstream = *aCall.upstream;
-  if (signs.load.has_value()) {
-    mTables.upstreams.reportLoad(upstream, *signs.load);
-  }
-  if (signs.isLeaving || signs.isMisdirected) {
-    markUpstreamLeaving(upstream);
-  }
+  applyReport(*aCall.upstream, signs, ReportSource::Response);
   if (signs.isNotRun) {
     onUpstreamShed(aCall);
     return;
@@ -162,20 +167,6 @@
   endWithResponse(aCall, aResponse);
 }
 
-void
-EntryWorker::markUpstreamLeaving(const UpstreamAddress& aUpstream)
-{
-  auto& context = mContext;
-  mTables.upstreams.markLeaving(aUpstream);
-  logEvent(LogEvent::UpstreamLeaving,
-           { { "upstream", aUpstream.name }, { "sign", "answer" } });
-  context.postToMain([&context, name = aUpstream.name, instance = aUpstream.instance] {
-    if (context.controlPlane.reportLeaving) {
-      context.controlPlane.reportLeaving(name, instance);
-    }
-  });
-}
-
 void
 EntryWorker::onUpstreamShed(Call& aCall)
 {
@@ -198,6 +189,10 @@
 {
   const auto& error = aResult.error;
   if (error == ExchangeError::NotSent) {
+    if (!mTables.upstreams.acceptsRequests(*aCall.upstream, mTimers.now())) {
+      chooseAgain(aCall);
+      return;
+    }
     endAttempt(aCall, AttemptOutcome::Cancelled);
     endWithError(aCall, CallError::QueueTimeout);
     return;
@@ -220,6 +215,15 @@
              aResult.mayHaveRun ? CallError::UpstreamFailed : CallError::NoUpstream);
 }
 
+void
+EntryWorker::chooseAgain(Call& aCall)
+{
+  endAttempt(aCall, AttemptOutcome::Cancelled);
+  --aCall.attempts;
+  aCall.stage = CallStage::Waiting;
+  queryLoads(aCall);
+}
+
 bool
 EntryWorker::tryTakeRetry(const Call& aCall)
 {
--- a/libs/entry/src/MembershipUpdate.cpp
+++ b/libs/entry/src/MembershipUpdate.cpp
@@ -59,7 +59,7 @@
   for (const auto& it : list) {
     if (it.role == VmRole::Upstream && it.leaving) {
       aTables.upstreams.markLeaving(
-        { it.name, it.service, it.region, it.host, it.port, it.instance });
+        { it.name, it.service, it.region, it.host, it.port, it.instance }, aNow);
     }
   }
   const auto entries = countEntries(list, region);
--- a/libs/entry/src/StateDump.cpp
+++ b/libs/entry/src/StateDump.cpp
@@ -14,6 +14,7 @@
 QJsonArray
 dumpUpstreams(const EntryTables& aTables)
 {
+  const Instant now = std::chrono::steady_clock::now();
   QJsonArray list;
   for (const auto& it : aTables.upstreams.snapshot()) {
     list.append(QJsonObject{
@@ -25,6 +26,9 @@
       { QStringLiteral("reportedQueued"), it.load.queued },
       { QStringLiteral("failuresInARow"), it.failuresInARow },
       { QStringLiteral("leaving"), it.leaving },
+      { QStringLiteral("heldOffMs"),
+        static_cast<qint64>(
+          toMilliseconds(std::max(Duration{ 0 }, it.heldOffUntil - now))) },
     });
   }
   return list;
--- a/libs/http/include/http/UpstreamConnectionPool.h
+++ b/libs/http/include/http/UpstreamConnectionPool.h
@@ -31,6 +31,12 @@
    */
   void closeStaleIdle(std::uint64_t aExchangeId);
 
+  /**
+   * Closes the idle connections to an upstream now, and the others when their exchanges
+   * have ended. Later exchanges open new ones.
+   */
+  void closeWhenIdle(const QHostAddress& aHost, std::uint16_t aPort);
+
   /** Changes the connection limit of each upstream; at least 1. */
   void setConnectionsPerUpstream(int aMaxConnections);
   std::size_t connectionCount() const;
--- a/libs/http/src/PooledConnection.cpp
+++ b/libs/http/src/PooledConnection.cpp
@@ -59,6 +59,15 @@
   close();
 }
 
+void
+PooledConnection::closeWhenIdle()
+{
+  mIsLastExchange = true;
+  if (isIdle()) {
+    close();
+  }
+}
+
 void
 PooledConnection::connectSignals()
 {
@@ -220,7 +229,8 @@
   mTimeoutTimer.cancel();
   const auto done = std::move(mExchange->done);
   mExchange.reset();
-  const bool isReusable = !aError && aResponse.keepAlive && !mHasUnexpectedData;
+  const bool isReusable =
+    !aError && aResponse.keepAlive && !mHasUnexpectedData && !mIsLastExchange;
   if (!isReusable) {
     close();
   } else {
--- a/libs/http/src/PooledConnection.h
+++ b/libs/http/src/PooledConnection.h
@@ -28,6 +28,9 @@
   /** Drops the exchange without calling its `done`, and closes the connection. */
   void cancelAndClose();
 
+  /** Closes the connection now if it is idle, else when its exchange has ended. */
+  void closeWhenIdle();
+
   bool isIdle() const { return !mExchange.has_value() && !mIsClosed; }
   bool isClosed() const { return mIsClosed; }
   bool isFresh() const { return !mIsConnected; }
@@ -68,6 +71,7 @@
   bool mIsConnected = false;
   bool mIsRequestWritten = false;
   bool mHasUnexpectedData = false; ///< received bytes that belong to no request
+  bool mIsLastExchange = false;    ///< not reused after the current exchange
   bool mIsClosed = false;
 };
 
--- a/libs/http/src/UpstreamConnectionPool.cpp
+++ b/libs/http/src/UpstreamConnectionPool.cpp
@@ -218,6 +218,19 @@
   mImpl->closeStaleIdle(aExchangeId);
 }
 
+void
+UpstreamConnectionPool::closeWhenIdle(const QHostAddress& aHost, std::uint16_t aPort)
+{
+  const auto it = mImpl->connectionsByAddress.find({ aHost.toIPv4Address(), aPort });
+  if (it == mImpl->connectionsByAddress.end()) {
+    return;
+  }
+  const auto connections = it->second; // closing removes a connection from the pool
+  for (const auto& connection : connections) {
+    connection->closeWhenIdle();
+  }
+}
+
 void
 UpstreamConnectionPool::setConnectionsPerUpstream(int aMaxConnections)
 {
--- a/libs/messages/include/messages/HeaderNames.h
+++ b/libs/messages/include/messages/HeaderNames.h
@@ -9,7 +9,7 @@
 // Responses to callers.
 inline constexpr const char* kOutcome = "Masticwall-Outcome"; ///< name of an Outcome
 inline constexpr const char* kReason = "Masticwall-Reason";   ///< name of the error
-inline constexpr const char* kRetryAfter = "Retry-After";     ///< seconds
+inline constexpr const char* kRetryAfter = "Retry-After"; ///< seconds; of upstreams too
 
 // Requests to upstreams.
 /** Milliseconds left until the response must have arrived. */
--- a/libs/messages/include/messages/UpstreamReport.h
+++ b/libs/messages/include/messages/UpstreamReport.h
@@ -16,8 +16,11 @@
   bool isUnprovenRefusal = false;
   /** Another instance has the address; the request was not run. */
   bool isMisdirected = false;
-  bool isLeaving = false;         ///< the upstream shuts down; send it no more calls
-  std::string instance;           ///< the upstream's instance id; empty if not reported
+  bool isLeaving = false; ///< the upstream shuts down; send it no more calls
+  std::string instance;   ///< the upstream's instance id; empty if not reported
+  /** The upstream wants no requests for so long. */
+  std::optional<Duration> holdOff;
+  std::string malformedHoldOff;   ///< what it says instead of a time; cut if very long
   std::optional<LoadReport> load; ///< empty if not reported
 };
 
@@ -29,4 +32,8 @@
 UpstreamReport
 readUpstreamReport(const http::Response& aResponse, Instant aNow);
 
+/** Reads the Retry-After field of a 503 response into `aReport`. */
+void
+readHoldOff(const http::Response& aResponse, UpstreamReport& aReport);
+
 } // namespace masticwall
--- a/libs/messages/src/UpstreamReport.cpp
+++ b/libs/messages/src/UpstreamReport.cpp
@@ -1,4 +1,5 @@
 #include <charconv>
+#include <http/RetryAfter.h>
 #include <messages/HeaderNames.h>
 #include <messages/UpstreamReport.h>
 
@@ -6,6 +7,8 @@
 
 namespace {
 
+constexpr int kStatusServiceUnavailable = 503;
+
 /** Parses a header as a non-negative integer; empty if it is missing or invalid. */
 std::optional<int>
 parseHeader(const http::Response& aResponse, const char* aName)
@@ -21,10 +24,25 @@
 
 } // namespace
 
+void
+readHoldOff(const http::Response& aResponse, UpstreamReport& aReport)
+{
+  constexpr std::size_t kMaxLoggedBytes = 64;
+  const auto text = http::findHeader(aResponse.headers, headers::kRetryAfter);
+  if (aResponse.status != kStatusServiceUnavailable || text.empty()) {
+    return;
+  }
+  const auto holdOff = http::parseRetryAfter(text);
+  if (holdOff.has_error()) {
+    aReport.malformedHoldOff = text.substr(0, kMaxLoggedBytes);
+  } else if (holdOff.value() > Duration{ 0 }) {
+    aReport.holdOff = holdOff.value();
+  }
+}
+
 UpstreamReport
 readUpstreamReport(const http::Response& aResponse, Instant aNow)
 {
-  constexpr int kStatusServiceUnavailable = 503;
   UpstreamReport report;
   report.isNotRun = aResponse.status == kStatusServiceUnavailable &&
                     http::findHeader(aResponse.headers, headers::kNotRun) == "1";
@@ -34,6 +52,7 @@
     report.load =
       LoadReport{ *inUse, parseHeader(aResponse, headers::kQueued).value_or(0), aNow };
   }
+  readHoldOff(aResponse, report);
   return report;
 }
 
--- a/libs/tables/include/tables/AdmissionTable.h
+++ b/libs/tables/include/tables/AdmissionTable.h
@@ -40,6 +40,9 @@
   /** Ends a started call; returns the waiting calls to start and those to drop. */
   AdmissionRelease release(const std::string& aService, Instant aNow);
 
+  /** Removes and returns all waiting calls of a service. */
+  std::vector<AdmissionRequest> removeWaiting(const std::string& aService);
+
   /** Removes a waiting call; false if it is not waiting. */
   bool cancel(const std::string& aService, const AdmissionRequest& aAdmissionRequest);
 
--- a/libs/tables/include/tables/UpstreamTable.h
+++ b/libs/tables/include/tables/UpstreamTable.h
@@ -58,8 +58,19 @@
   /** The upstream could not be reached for a load query; no call was sent to it. */
   void reportUnreachable(const UpstreamAddress& aUpstream, Instant aNow);
 
-  /** The upstream's instance is shutting down; calls go to others. */
-  void markLeaving(const UpstreamAddress& aUpstream);
+  /** The upstream's instance is shutting down; calls go to others. Returns false if that
+   * was known. */
+  bool markLeaving(const UpstreamAddress& aUpstream, Instant aNow);
+
+  /** The upstream's instance wants no requests for `aDuration`; returns when it gets some
+   * again. */
+  Instant holdOff(const UpstreamAddress& aUpstream, Duration aDuration, Instant aNow);
+
+  /** Whether the upstream's instance is listed, does not leave and is not held off. */
+  bool acceptsRequests(const UpstreamAddress& aUpstream, Instant aNow) const;
+
+  /** Whether any upstream of the service accepts requests. */
+  ServiceAvailability availability(const std::string& aService, Instant aNow) const;
 
   /** See UpstreamPool::typicalProcessingTime(); zero for an unknown service. */
   Duration typicalProcessingTime(const std::string& aService) const;
--- a/libs/tables/src/AdmissionTable.cpp
+++ b/libs/tables/src/AdmissionTable.cpp
@@ -28,6 +28,13 @@
   return mQueues[aService].release(aNow);
 }
 
+std::vector<AdmissionRequest>
+AdmissionTable::removeWaiting(const std::string& aService)
+{
+  std::scoped_lock lock(mMutex);
+  return mQueues[aService].removeWaiting();
+}
+
 bool
 AdmissionTable::cancel(const std::string& aService,
                        const AdmissionRequest& aAdmissionRequest)
--- a/libs/tables/src/UpstreamTable.cpp
+++ b/libs/tables/src/UpstreamTable.cpp
@@ -103,11 +103,34 @@
   mPools[aUpstream.service].reportUnreachable(aUpstream.name, aNow);
 }
 
-void
-UpstreamTable::markLeaving(const UpstreamAddress& aUpstream)
+bool
+UpstreamTable::markLeaving(const UpstreamAddress& aUpstream, Instant aNow)
+{
+  std::scoped_lock lock(mMutex);
+  return mPools[aUpstream.service].markLeaving(aUpstream, aNow);
+}
+
+Instant
+UpstreamTable::holdOff(const UpstreamAddress& aUpstream, Duration aDuration, Instant aNow)
+{
+  std::scoped_lock lock(mMutex);
+  return mPools[aUpstream.service].holdOff(aUpstream, aDuration, aNow, mRandom);
+}
+
+bool
+UpstreamTable::acceptsRequests(const UpstreamAddress& aUpstream, Instant aNow) const
+{
+  std::scoped_lock lock(mMutex);
+  const auto it = mPools.find(aUpstream.service);
+  return it != mPools.end() && it->second.acceptsRequests(aUpstream, aNow);
+}
+
+ServiceAvailability
+UpstreamTable::availability(const std::string& aService, Instant aNow) const
 {
   std::scoped_lock lock(mMutex);
-  mPools[aUpstream.service].markLeaving(aUpstream.name, aUpstream.instance);
+  const auto it = mPools.find(aService);
+  return it == mPools.end() ? ServiceAvailability{} : it->second.availability(aNow);
 }
 
 Duration
--- a/libs/telemetry/include/telemetry/Counter.h
+++ b/libs/telemetry/include/telemetry/Counter.h
@@ -13,16 +13,20 @@
   SourceReads,  ///< reads of the source (the store of VM list and preset)
   FeedRequests, ///< requests to a peer for its feed (its VM list and preset)
   Retries,      ///< retries of calls: "sent", or "over-budget" if denied by the budget
-  LoadQueries,  ///< "answered" or "failed" queries; "over-budget": none sent
+  /** What upstreams report about themselves: "leaving", "held-off" (they want no requests
+   * for a time), or "bad-retry-after". */
+  UpstreamSignals,
+  LoadQueries, ///< "answered" or "failed" queries; "over-budget": none sent
 };
 
 template<>
 struct EnumTable<Counter>
 {
-  static constexpr std::array<EnumName<Counter>, 4> kEntries{ {
+  static constexpr std::array<EnumName<Counter>, 5> kEntries{ {
     { Counter::SourceReads, "masticwall_source_readings_total" },
     { Counter::FeedRequests, "masticwall_feeds_total" },
     { Counter::Retries, "masticwall_retries_total" },
+    { Counter::UpstreamSignals, "masticwall_upstream_signals_total" },
     { Counter::LoadQueries, "masticwall_load_queries_total" },
   } };
 };
--- a/libs/telemetry/include/telemetry/LogEvent.h
+++ b/libs/telemetry/include/telemetry/LogEvent.h
@@ -31,6 +31,8 @@
   UpstreamFailed,    ///< an attempt at a call failed
   ResponseDiscarded, ///< an upstream sent responses that belong to no request
   UpstreamLeaving,   ///< an upstream's response says that it is shutting down
+  UpstreamHeldOff,   ///< an upstream wants no requests for a time
+  RetryAfterBad,     ///< an upstream's Retry-After is no time; it is ignored
   SuspectStopped,    ///< not retried: the request is blocked, as it crashed upstreams
   OrderUnknown,      ///< an order ended with an unknown outcome
   MessageBad,        ///< a message could not be decoded
@@ -53,7 +55,7 @@
 template<>
 struct EnumTable<LogEvent>
 {
-  static constexpr std::array<EnumName<LogEvent>, 40> kEntries{ {
+  static constexpr std::array<EnumName<LogEvent>, 42> kEntries{ {
     { LogEvent::Started, "started" },
     { LogEvent::Stopped, "stopped" },
     { LogEvent::StopRequested, "stop-requested" },
@@ -77,6 +79,8 @@
     { LogEvent::UpstreamFailed, "upstream-failed" },
     { LogEvent::ResponseDiscarded, "response-discarded" },
     { LogEvent::UpstreamLeaving, "upstream-leaving" },
+    { LogEvent::UpstreamHeldOff, "upstream-held-off" },
+    { LogEvent::RetryAfterBad, "retry-after-bad" },
     { LogEvent::SuspectStopped, "suspect-stopped" },
     { LogEvent::OrderUnknown, "order-unknown" },
     { LogEvent::MessageBad, "message-bad" },
--- a/tests/harness/GatewaySystem.cpp
+++ b/tests/harness/GatewaySystem.cpp
@@ -135,15 +135,18 @@
 }
 
 void
-GatewaySystem::listUpstream(int aIndex, const std::string& aState)
+GatewaySystem::listUpstream(int aIndex,
+                            const std::string& aState,
+                            qint64 aStartedMs,
+                            int aSequence)
 {
   const auto address = host(kFirstUpstream + aIndex).toString().toStdString() + ':' +
                        std::to_string(kUpstreamPort);
   const auto value =
-    R"({"address":")" + address +
-    R"(","born":1700000000000,"info":{"service":"lookup","version":"v1",)" +
+    R"({"address":")" + address + R"(","born":)" + std::to_string(aStartedMs) +
+    R"(,"info":{"service":"lookup","version":"v1",)" +
     R"("zone":"recife","concurrency-limit":4},"status":{"state":")" + aState +
-    R"(","sequence":1,"warmup-left":"0ms"}})";
+    R"(","sequence":)" + std::to_string(aSequence) + R"(,"warmup-left":"0ms"}})";
   writeRecord("keyed.servers", upstreamName(aIndex), aState.empty() ? "" : value);
 }
 
@@ -202,6 +205,12 @@
   return ctl.waitForEnd() == 0 ? ctl.standardOutput() : QString();
 }
 
+LedgerFile
+GatewaySystem::ledgerOf(int aIndex) const
+{
+  return LedgerFile::read(mDirectory.filePath(QStringLiteral("ledger-%1").arg(aIndex)));
+}
+
 int
 GatewaySystem::runsOf(const std::string& aId) const
 {
--- a/tests/harness/GatewaySystem.h
+++ b/tests/harness/GatewaySystem.h
@@ -43,7 +43,10 @@
   void writeConfig(int aVersion);
 
   /** Lists an upstream in the store as "ready" or "draining", or, empty, not at all. */
-  void listUpstream(int aIndex, const std::string& aState);
+  void listUpstream(int aIndex,
+                    const std::string& aState,
+                    qint64 aStartedMs = 1'700'000'000'000,
+                    int aSequence = 1);
   void writeRecord(const std::string& aTopic,
                    const std::string& aKey,
                    const std::string& aValue);
@@ -62,6 +65,9 @@
   /** What masticwallctl explains of a request from the logs of all gateways so far. */
   QString explain(const std::string& aId);
 
+  /** What has reached one upstream so far. */
+  LedgerFile ledgerOf(int aIndex) const;
+
   /** The upstreams that ran the request `aId`, over all of them. */
   int runsOf(const std::string& aId) const;
 
--- a/tests/harness/LedgerFile.cpp
+++ b/tests/harness/LedgerFile.cpp
@@ -14,6 +14,8 @@
   for (const auto& line : file.readAll().split('\n')) {
     if (line == "probe") {
       ++ledger.probes;
+    } else if (line == "shed") {
+      ++ledger.rejections;
     } else if (line == "after-leaving") {
       ++ledger.afterLeaving;
     } else if (line.startsWith("failed ")) {
@@ -34,6 +36,7 @@
 {
   runs += aOther.runs;
   probes += aOther.probes;
+  rejections += aOther.rejections;
   afterLeaving += aOther.afterLeaving;
   failedTargets.insert(aOther.failedTargets.begin(), aOther.failedTargets.end());
   for (const auto& [key, n] : aOther.runsByKey) {
--- a/tests/standins/Upstream.cpp
+++ b/tests/standins/Upstream.cpp
@@ -13,6 +13,7 @@
 constexpr double kColdFactor = 5.0;
 constexpr int kCrashExit = 42;
 constexpr const char* kRequestId = "Masticwall-Request-Id";
+constexpr const char* kServerLeaving = "Server-Leaving";
 
 std::string
 headerOf(const http::Request& aRequest, const char* aName)
@@ -92,6 +93,9 @@
     response.headers.push_back({ "Masticwall-Not-Executed", "1" });
   }
   addSigns(response);
+  if (mHidesHealthLeaving) {
+    http::removeHeader(response.headers, kServerLeaving);
+  }
   if (mHealthTime == Duration{ 0 }) {
     aDone(std::move(response));
     return;
@@ -128,10 +132,14 @@
       mHealthTime = std::chrono::milliseconds(value.toInt());
     } else if (name == QLatin1String("health_not_run")) {
       mIsHealthNotRun = value.toInt() != 0;
+    } else if (name == QLatin1String("hide_health_leaving")) {
+      mHidesHealthLeaving = value.toInt() != 0;
     } else if (name == QLatin1String("copy_health")) {
       mCopiesHealth = value.toInt() != 0;
     } else if (name == QLatin1String("hide_load")) {
       mHidesLoad = value.toInt() != 0;
+    } else if (name == QLatin1String("retry_after")) {
+      mRetryAfter = value.toStdString();
     } else if (name == QLatin1String("error_status")) {
       mErrorStatus = value.toInt();
     } else if (name == QLatin1String("report_lag_ms")) {
@@ -248,6 +256,9 @@
   const auto& report = mReports.front();
   const auto percent = static_cast<int>(100.0 * mSlowFactor);
   aResponse.headers.push_back({ "Masticwall-Instance-Id", mName });
+  if (mIsLeaving && !mHidesLeaving) {
+    aResponse.headers.push_back({ kServerLeaving, "1" });
+  }
   if (mHidesLoad) {
     return;
   }
@@ -267,7 +278,11 @@
 http::Response
 Upstream::shed()
 {
+  mLedger.write("shed");
   http::Response response{ 503, {}, "shed\n", true };
+  if (!mRetryAfter.empty()) {
+    response.headers.push_back({ "Retry-After", mRetryAfter });
+  }
   const auto* const sign = mIsPlatform ? "Masticwall-Not-Executed" : "Upstream-Not-Run";
   response.headers.push_back({ sign, "1" });
   addSigns(response);
--- a/tests/standins/Upstream.h
+++ b/tests/standins/Upstream.h
@@ -72,12 +72,14 @@
   bool mIsShedding = false;   ///< rejects all requests as if it were full
   bool mIsPlatform = false;   ///< speaks the platform's headers
   bool mHidesLeaving = false; ///< neither its health nor its answers say that it leaves
+  std::string mRetryAfter;    ///< said with each rejection; empty: nothing
   bool mHidesLoad = false;    ///< the platform's answers don't tell its load
   int mErrorStatus = 0;       ///< of requests that have run; 0: success
   int mHealthStatus = 200;
   int mPendingHealth = 0;
   Duration mHealthTime{ 0 };    ///< until the health path answers
   bool mIsHealthNotRun = false; ///< the health path's answers say so, as when it is full
+  bool mHidesHealthLeaving = false; ///< only other answers say that it leaves
   bool mCopiesHealth = false;
   Duration mReportLag{ 0 }; ///< how old the load is that answers tell of
   std::deque<Report> mReports;
--- a/tests/standins/UpstreamConnection.cpp
+++ b/tests/standins/UpstreamConnection.cpp
@@ -75,6 +75,11 @@
   if (behaviour == "late-copy" || (isHealth && mUpstream.copiesHealth())) {
     mLateCopy = bytes;
   }
+  if (behaviour == "late-copy-leaving") {
+    auto copy = aResponse;
+    copy.headers.push_back({ "Server-Leaving", "1" });
+    mLateCopy = http::serialize(copy, false, false);
+  }
   if (behaviour == "surplus") {
     bytes += "surplus";
   }
