Let callers go at a planned stop that always have a request on its way

Cause: a connection's response closed it only if no further request was pending, and further requests were read all the while. Change: while a listener drains, nothing is read behind a pending request, so that the last pending response says Connection: close. Related path: closing a socket with unread bytes resets the connection and may destroy that response; the sending direction is closed first, and what still comes is discarded for a second or 4 MB at most.

--- a/libs/http/include/http/HttpListener.h
+++ b/libs/http/include/http/HttpListener.h
@@ -36,8 +36,9 @@
   std::uint16_t port() const;
 
   /**
-   * From now on a connection's last pending response carries "Connection: close", and
-   * the connection is closed after it. Idle connections stay open; see closeIdle().
+   * From now on no request is read behind one that is in progress, and a connection's
+   * last pending response carries "Connection: close" and closes it. Idle connections
+   * stay open; see closeIdle().
    */
   void closeAfterResponses();
 
--- a/libs/http/src/CallerConnection.cpp
+++ b/libs/http/src/CallerConnection.cpp
@@ -3,6 +3,7 @@
 #include <core/Bytes.h>
 #include <http/HttpError.h>
 #include <http/Serializer.h>
+#include <sys/socket.h>
 
 namespace masticwall::http {
 
@@ -13,6 +14,10 @@
 constexpr qint64 kMaxUnwrittenBytes = 256 * kKiB;
 /** At most this many requests are dispatched before the event loop runs again. */
 constexpr int kMaxRequestsPerTurn = 32;
+/** How long, and up to how many bytes, a caller may go on sending after the end of the
+ * last response. */
+constexpr Duration kMaxLingerTime = std::chrono::seconds(1);
+constexpr qint64 kMaxLingerBytes = 4 * kMiB;
 
 Instant
 steadyNow()
@@ -97,7 +102,11 @@
   QObject::connect(mSocket, &QTcpSocket::bytesWritten, mSocket, [weak](qint64) {
     if (const auto self = weak.lock()) {
       self->mLastWriteProgress = steadyNow();
-      self->readRequests();
+      if (self->mIsLingering) {
+        self->shutDownWhenWritten();
+      } else {
+        self->readRequests();
+      }
     }
   });
   QObject::connect(mSocket, &QTcpSocket::disconnected, mSocket, [weak] {
@@ -115,7 +124,8 @@
   const bool isWriteStalled =
     mSocket->bytesToWrite() > 0 && aNow - mLastWriteProgress > settings.writeTimeout;
   const bool isIdleTooLong = isIdle() && aNow - mIdleSince > settings.idleTimeout;
-  if (isWriteStalled || isIdleTooLong) {
+  const bool isLingerOver = mIsShutDown && aNow - mShutDownAt > kMaxLingerTime;
+  if (isWriteStalled || isIdleTooLong || isLingerOver) {
     mSocket->abort();
     return;
   }
@@ -135,7 +145,50 @@
 void
 CallerConnection::onReadable()
 {
-  readRequests();
+  if (mIsLingering) {
+    discardInput();
+  } else {
+    readRequests();
+  }
+}
+
+void
+CallerConnection::closeInOrder()
+{
+  const bool hasInput = !mBytes.isEmpty() || mSocket->bytesAvailable() > 0;
+  if (mHasCallerEnded && !hasInput) {
+    mSocket->disconnectFromHost();
+    return;
+  }
+  mIsLingering = true;
+  mIsReadingRequest = false;
+  mBytes.clear();
+  mBytes.squeeze();
+  shutDownWhenWritten();
+  discardInput();
+}
+
+void
+CallerConnection::shutDownWhenWritten()
+{
+  if (mIsShutDown || mIsClosed) {
+    return;
+  }
+  mSocket->flush();
+  if (mSocket->bytesToWrite() == 0) {
+    mIsShutDown = true;
+    mShutDownAt = steadyNow();
+    ::shutdown(static_cast<int>(mSocket->socketDescriptor()), SHUT_WR);
+  }
+}
+
+void
+CallerConnection::discardInput()
+{
+  mDiscardedBytes += mSocket->readAll().size();
+  if (mDiscardedBytes > kMaxLingerBytes) {
+    mSocket->abort();
+  }
 }
 
 void
@@ -158,7 +211,10 @@
 bool
 CallerConnection::mayRead() const
 {
-  return !mIsClosing && !mIsClosed &&
+  // While the listener drains, the last pending response closes the connection. A request
+  // that was read behind it would run in vain, or keep the connection open.
+  const bool isLastPending = mContext->closesAfterResponses && !mPendingResponses.empty();
+  return !mIsClosing && !mIsClosed && !isLastPending &&
          mPendingResponses.size() <
            static_cast<std::size_t>(mContext->settings.maxPipelined) &&
          mSocket->bytesToWrite() < kMaxUnwrittenBytes;
@@ -205,6 +261,7 @@
 {
   if (!aRequest.keepAlive) {
     mIsClosing = true;
+    mHasCallerEnded = true;
   }
   const auto caller = mSocket->peerAddress().toString().toStdString();
   auto pending = std::make_shared<PendingResponse>(weak_from_this(), aRequest, caller);
@@ -239,7 +296,7 @@
     mIdleSince = steadyNow();
   }
   if (mIsClosing && mPendingResponses.empty()) {
-    mSocket->disconnectFromHost();
+    closeInOrder();
     return;
   }
   if (!mBytes.isEmpty() || mSocket->bytesAvailable() > 0) {
--- a/libs/http/src/CallerConnection.h
+++ b/libs/http/src/CallerConnection.h
@@ -17,7 +17,8 @@
     HttpListenerSettings settings;
     HttpListener::Handler handler;
     HttpListener::ErrorResponder errorResponder;
-    /** Connections close after their last pending response. */
+    /** Connections read no request behind a pending one, and close after the last pending
+     * response. */
     bool closesAfterResponses = false;
   };
 
@@ -44,6 +45,16 @@
   class PendingResponse;
 
   void onReadable();
+
+  /**
+   * Closes the connection after the last response. Unless the caller has sent its last
+   * request, only the sending direction is closed at first, and what still arrives is
+   * discarded until the caller closes or a limit is reached: closing a socket with unread
+   * bytes resets the connection, which may destroy the response on its way.
+   */
+  void closeInOrder();
+  void shutDownWhenWritten();
+  void discardInput();
   void onClosed();
   void readRequests();
   bool mayRead() const;
@@ -65,6 +76,11 @@
   Instant mLastWriteProgress;
   bool mIsReadingRequest = false; ///< part of a request has been read
   bool mIsClosing = false;        ///< no further request is read
+  bool mHasCallerEnded = false;   ///< the caller asked to close after its last request
+  bool mIsLingering = false;      ///< see closeInOrder()
+  bool mIsShutDown = false;       ///< the sending direction is closed
+  Instant mShutDownAt;
+  qint64 mDiscardedBytes = 0;
   bool mIsClosed = false;
   bool mHasSentContinue = false;
 };
--- a/tests/integration/PipelineTest.cpp
+++ b/tests/integration/PipelineTest.cpp
@@ -1,5 +1,6 @@
 #include "GatewaySystem.h"
 #include "Wait.h"
+#include <QTimer>
 #include <catch2/catch.hpp>
 #include <csignal>
 
@@ -66,6 +67,43 @@
   CHECK(system.gateway(0).waitForEnd() == 0);
 }
 
+TEST_CASE("a gateway that is told to stop lets a caller go that never pauses")
+{
+  GatewaySystem system(1, 2);
+  REQUIRE(system.start());
+  TestCaller caller(system.gatewayHost(0), GatewaySystem::kFrontPort);
+  constexpr int kServiceMs = 160;
+  constexpr int kSendPeriodMs = 40;
+  constexpr int kLookupsBeforeStop = 20;
+  int sent = 0;
+  bool isClosing = false;
+  // There is a lookup in progress at any time.
+  QTimer sender;
+  QObject::connect(&sender, &QTimer::timeout, &sender, [&] {
+    if (isClosing || !caller.isConnected()) {
+      return;
+    }
+    caller.send(lookup("n" + std::to_string(sent++), kServiceMs));
+    if (sent == kLookupsBeforeStop) {
+      system.gateway(0).signal(SIGTERM);
+    }
+  });
+  sender.start(kSendPeriodMs);
+  int answered = 0;
+  while (const auto response = caller.receive()) {
+    CHECK(response->status == 200);
+    CHECK(http::findHeader(response->headers, "Masticwall-Request-Id") ==
+          "n" + std::to_string(answered++));
+    isClosing = isClosing || !response->keepAlive;
+  }
+  CHECK(isClosing);
+  // What ran was answered, and what was sent behind the last answer did not run.
+  for (int i = 0; i < sent; ++i) {
+    CHECK(system.runsOf("n" + std::to_string(i)) == (i < answered ? 1 : 0));
+  }
+  CHECK(system.gateway(0).waitForEnd() == 0);
+}
+
 TEST_CASE("what comes behind a request that closes the connection is not passed on")
 {
   GatewaySystem system(1, 2);
