Share out the descriptors, with a reserve for the process itself

Cause: the limit of 4,000 callers' connections did not follow the limit of descriptors, and a failed read dropped the network thread of Qt's client, so that the next one needed new pipes. Change: DescriptorBudget (libs/decide) divides max-fds into a reserve, upstreams and callers. At its limit a listener replaces the connection that has been idle for longest, and else accepts no more while those that come wait in the system's queue; an error of accepting is logged (accept-failed) and tried again. The pool of upstream connections replaces idle ones likewise.

--- a/libs/entry/src/EntryWorker.cpp
+++ b/libs/entry/src/EntryWorker.cpp
@@ -1,5 +1,7 @@
 #include "EntryWorker.h"
 #include "CallId.h"
+#include <decide/DescriptorBudget.h>
+#include <sys/resource.h>
 #include <telemetry/EventLog.h>
 
 namespace masticwall {
@@ -12,6 +14,21 @@
 constexpr int kInitialConnectionsPerUpstream = 1;
 constexpr Duration kGaugePeriod = std::chrono::milliseconds(250);
 
+/** For files, if the number of sockets is not set and the system's limit counts. */
+constexpr int kFileDescriptors = 64;
+
+int
+maxSocketsOf(const EntrySettings& aSettings)
+{
+  constexpr rlim_t kMaxSockets = 1'000'000; // if the system has no limit
+  if (aSettings.maxSockets > 0) {
+    return aSettings.maxSockets;
+  }
+  rlimit files = {};
+  getrlimit(RLIMIT_NOFILE, &files);
+  return static_cast<int>(std::min(files.rlim_cur, kMaxSockets)) - kFileDescriptors;
+}
+
 } // namespace
 
 Result<std::unique_ptr<EntryWorker>>
@@ -20,9 +37,13 @@
   auto worker = std::unique_ptr<EntryWorker>(new EntryWorker(aContext, aIndex));
   auto* const raw = worker.get();
   const auto& settings = aContext.tables.settings;
+  const auto descriptors = DescriptorBudget::of(maxSocketsOf(settings));
+  raw->mUpstreamConnections.setMaxConnections(descriptors.upstreams / settings.workers);
   http::HttpListenerSettings limits;
   limits.requestTimeout = settings.requestTimeout;
   limits.idleTimeout = settings.idleTimeout;
+  limits.maxConnections =
+    static_cast<std::size_t>(std::max(1, descriptors.callers / settings.workers));
   auto listener = http::HttpListener::listen(
     raw->mTimers,
     QHostAddress(QString::fromStdString(settings.common.host)),
@@ -31,7 +52,10 @@
     [raw](http::Request aRequest, http::ResponderPtr aResponder) {
       raw->onRequest(std::move(aRequest), std::move(aResponder));
     },
-    aContext.dialect.encodeHttpError);
+    aContext.dialect.encodeHttpError,
+    [](const std::string& aError) {
+      logEvent(LogEvent::AcceptFailed, { { "error", aError } });
+    });
   if (listener.has_error()) {
     return listener.error();
   }
--- a/libs/gateway/include/gateway/GatewayDaemon.h
+++ b/libs/gateway/include/gateway/GatewayDaemon.h
@@ -49,7 +49,7 @@
 private:
   explicit GatewayDaemon(const GatewaySettings& aSettings)
     : mSettings(aSettings)
-    , mSource(aSettings)
+    , mSource(mTimers, aSettings)
   {
   }
 
--- a/libs/gateway/include/gateway/Platform.h
+++ b/libs/gateway/include/gateway/Platform.h
@@ -3,6 +3,7 @@
 #include <entry/Dialect.h>
 #include <gateway/ConfigSource.h>
 #include <gateway/GatewaySettings.h>
+#include <runtime/TimerService.h>
 
 namespace masticwall {
 
@@ -13,8 +14,8 @@
  */
 template<class P>
 concept Platform = Dialect<typename P::Dialect> &&
-  ConfigSource<typename P::ConfigSource> &&
-  std::constructible_from<typename P::ConfigSource, const GatewaySettings&> &&
+  ConfigSource<typename P::ConfigSource> && std::
+    constructible_from<typename P::ConfigSource, TimerService&, const GatewaySettings&> &&
   requires(const std::string& aPath)
 {
   {
--- a/libs/http/include/http/HttpListener.h
+++ b/libs/http/include/http/HttpListener.h
@@ -15,6 +15,10 @@
  * Accepts callers' connections on a port that several listeners may share (one for each
  * worker), parses their requests and passes each to the handler. A request that
  * can't be parsed gets a 4xx response and its connection is closed. Use on one thread.
+ *
+ * At the limit of connections, a new one takes the place of the one that has been idle
+ * for longest. While none is idle, no connection is accepted; those that come wait in the
+ * system's queue.
  */
 class HttpListener
 {
@@ -22,6 +26,9 @@
   using Handler = std::function<void(Request, ResponderPtr)>;
   /** Makes the response to a request that could not be parsed, from its error. */
   using ErrorResponder = std::function<Response(const std::error_code&)>;
+  /** Called when the system refuses to accept a connection, e.g. for want of descriptors.
+   * The listener tries again after a while. */
+  using AcceptErrorObserver = std::function<void(const std::string& aError)>;
 
   /** Fails with the system's error if the port can't be listened on. */
   static Result<std::unique_ptr<HttpListener>> listen(
@@ -30,7 +37,8 @@
     std::uint16_t aPort,
     const HttpListenerSettings& aSettings,
     Handler aHandler,
-    ErrorResponder aErrorResponder);
+    ErrorResponder aErrorResponder,
+    AcceptErrorObserver aOnAcceptError = nullptr);
   ~HttpListener();
 
   std::uint16_t port() const;
--- a/libs/http/include/http/HttpListenerSettings.h
+++ b/libs/http/include/http/HttpListenerSettings.h
@@ -13,7 +13,7 @@
   Duration idleTimeout{ 60s };       ///< between requests
   Duration writeTimeout{ 30s };      ///< without progress in writing responses
   int maxPipelined = 16;             ///< requests in progress on one connection
-  std::size_t maxConnections = 4000; ///< of one listener; further ones are reset
+  std::size_t maxConnections = 4000; ///< of one listener; see HttpListener
 };
 
 } // namespace masticwall::http
--- a/libs/http/include/http/UpstreamConnectionPool.h
+++ b/libs/http/include/http/UpstreamConnectionPool.h
@@ -39,6 +39,10 @@
 
   /** Changes the connection limit of each upstream; at least 1. */
   void setConnectionsPerUpstream(int aMaxConnections);
+
+  /** Changes the limit of all connections together; at least 1. At the limit, a new
+   * connection takes the place of the one that has been idle for longest. */
+  void setMaxConnections(int aMaxConnections);
   std::size_t connectionCount() const;
 
 private:
--- a/libs/http/src/HttpListener.cpp
+++ b/libs/http/src/HttpListener.cpp
@@ -13,6 +13,10 @@
 constexpr int kAcceptQueueLength = 1024;
 /** How often the connections' timeouts are checked. */
 constexpr Duration kTimeoutCheckPeriod = std::chrono::milliseconds(250);
+/** After the system has refused to accept a connection. */
+constexpr Duration kAcceptRetryDelay = std::chrono::milliseconds(100);
+/** A connection that was idle for a shorter time may just get its next request. */
+constexpr Duration kMinIdleToReplace = std::chrono::milliseconds(250);
 
 /** Opens a listening socket whose port the process's other workers may share. */
 Result<int>
@@ -47,22 +51,59 @@
   std::unordered_map<std::uint64_t, std::shared_ptr<CallerConnection>> connections;
   std::uint64_t nextId = 1;
   TimerHandle timeoutCheckTimer;
+  TimerHandle acceptRetryTimer;
 
-  void acceptAll()
+  /** Returns false if there was nothing to accept, or no room for it. */
+  bool acceptAll()
   {
-    while (auto* const socket = server.nextPendingConnection()) {
-      if (connections.size() >= context->settings.maxConnections) {
-        socket->abort();
-        socket->deleteLater();
-        continue;
-      }
+    bool hasAccepted = false;
+    while (server.hasPendingConnections() && hasRoom()) {
+      hasAccepted = true;
+      auto* const socket = server.nextPendingConnection();
       socket->setParent(nullptr);
       const auto id = nextId++;
       const auto connection = std::make_shared<CallerConnection>(
-        socket, context, [this, id] { connections.erase(id); });
+        socket, context, [this, id] { onConnectionClosed(id); });
       connections[id] = connection;
       connection->start();
     }
+    return hasAccepted;
+  }
+
+  /** Whether one more connection is within the limit; may close an idle one for it. */
+  bool hasRoom()
+  {
+    if (connections.size() < context->settings.maxConnections) {
+      return true;
+    }
+    const Instant now = std::chrono::steady_clock::now();
+    std::shared_ptr<CallerConnection> longestIdle;
+    for (const auto& [id, connection] : connections) {
+      const bool isIdle =
+        connection->isIdle() && connection->idleFor(now) >= kMinIdleToReplace;
+      if (isIdle && (longestIdle == nullptr ||
+                     connection->idleFor(now) > longestIdle->idleFor(now))) {
+        longestIdle = connection;
+      }
+    }
+    if (longestIdle != nullptr) {
+      longestIdle->close();
+    }
+    return connections.size() < context->settings.maxConnections;
+  }
+
+  void onConnectionClosed(std::uint64_t aId)
+  {
+    connections.erase(aId);
+    acceptAll();
+  }
+
+  void retryAccepting()
+  {
+    if (server.isListening()) {
+      server.resumeAccepting();
+      acceptAll();
+    }
   }
 
   /** A copy to iterate over: a connection that closes removes itself from the table. */
@@ -83,7 +124,8 @@
                      std::uint16_t aPort,
                      const HttpListenerSettings& aSettings,
                      Handler aHandler,
-                     ErrorResponder aErrorResponder)
+                     ErrorResponder aErrorResponder,
+                     AcceptErrorObserver aOnAcceptError)
 {
   auto fd = listenShared(aHost, aPort);
   if (fd.has_error()) {
@@ -99,14 +141,27 @@
   impl->context->handler = std::move(aHandler);
   impl->context->errorResponder = std::move(aErrorResponder);
   auto* const raw = impl.get();
-  raw->server.setMaxPendingConnections(kAcceptQueueLength);
+  // Qt accepts no more while one is pending. The others wait in the system's queue, where
+  // they take no descriptors of this process.
+  raw->server.setMaxPendingConnections(1);
   QObject::connect(
     &raw->server, &QTcpServer::newConnection, &raw->server, [raw] { raw->acceptAll(); });
   auto* const timers = &aTimers;
+  QObject::connect(&raw->server,
+                   &QTcpServer::acceptError,
+                   &raw->server,
+                   [raw, timers, observer = std::move(aOnAcceptError)] {
+                     if (observer != nullptr) {
+                       observer(raw->server.errorString().toStdString());
+                     }
+                     raw->acceptRetryTimer = timers->scheduleAfter(
+                       kAcceptRetryDelay, [raw] { raw->retryAccepting(); });
+                   });
   raw->timeoutCheckTimer = aTimers.scheduleEvery(kTimeoutCheckPeriod, [raw, timers] {
     for (const auto& it : raw->copyConnections()) {
       it->checkTimeouts(timers->now());
     }
+    raw->acceptAll(); // connections may have become idle that can be replaced
   });
   return std::unique_ptr<HttpListener>(new HttpListener(std::move(impl)));
 }
@@ -133,8 +188,7 @@
 void
 HttpListener::stopAccepting()
 {
-  while (mImpl->server.waitForNewConnection(0)) {
-    mImpl->acceptAll();
+  while (mImpl->server.waitForNewConnection(0) && mImpl->acceptAll()) {
   }
   mImpl->server.close();
 }
--- a/libs/http/src/UpstreamConnectionPool.cpp
+++ b/libs/http/src/UpstreamConnectionPool.cpp
@@ -2,6 +2,7 @@
 #include <algorithm>
 #include <http/ExchangeError.h>
 #include <http/UpstreamConnectionPool.h>
+#include <limits>
 #include <map>
 #include <vector>
 
@@ -37,8 +38,15 @@
     Instant startedAt;
   };
 
+  explicit Impl(TimerService& aTimers)
+    : timers(aTimers)
+  {
+  }
+
   TimerService& timers;
-  int maxPerUpstream;
+  int maxPerUpstream = 1;
+  std::size_t maxConnections = std::numeric_limits<std::size_t>::max();
+  std::size_t connectionCount = 0;
   std::map<Address, Connections> connectionsByAddress;
   std::map<std::uint64_t, ActiveExchange> activeExchanges;
   /** By exchange id: NoConnection errors that have not been reported yet. */
@@ -64,19 +72,43 @@
     return isInactive ? nullptr : best;
   }
 
-  /** Closes the idle connection whose last activity is the earliest, to stay within the
-   * connection limit. */
-  static void closeLeastRecentlyActiveIdle(Connections& aConnections)
+  using ConnectionPtr = std::shared_ptr<PooledConnection>;
+
+  /** Sets `aLeastRecent` to the idle connection whose last activity is the earliest,
+   * among it and `aConnections`. */
+  static void findLeastRecentlyActiveIdle(const Connections& aConnections,
+                                          ConnectionPtr& aLeastRecent)
   {
-    std::shared_ptr<PooledConnection> leastRecent;
     for (const auto& it : aConnections) {
-      if (it->isIdle() &&
-          (leastRecent == nullptr || it->lastActivity() < leastRecent->lastActivity())) {
-        leastRecent = it;
+      if (it->isIdle() && (aLeastRecent == nullptr ||
+                           it->lastActivity() < aLeastRecent->lastActivity())) {
+        aLeastRecent = it;
       }
     }
-    if (leastRecent != nullptr) {
-      leastRecent->cancelAndClose();
+  }
+
+  static void closeIfAny(const ConnectionPtr& aConnection)
+  {
+    if (aConnection != nullptr) {
+      aConnection->cancelAndClose();
+    }
+  }
+
+  /** Closes idle connections as far as the limits on an upstream's connections and on all
+   * connections require it for one more. */
+  void makeRoom(const Connections& aConnections)
+  {
+    if (aConnections.size() >= static_cast<std::size_t>(maxPerUpstream)) {
+      ConnectionPtr leastRecent;
+      findLeastRecentlyActiveIdle(aConnections, leastRecent);
+      closeIfAny(leastRecent);
+    }
+    if (connectionCount >= maxConnections) {
+      ConnectionPtr leastRecent;
+      for (const auto& [address, connections] : connectionsByAddress) {
+        findLeastRecentlyActiveIdle(connections, leastRecent);
+      }
+      closeIfAny(leastRecent);
     }
   }
 
@@ -85,10 +117,9 @@
                                          const Exchange& aExchange)
   {
     auto& connections = connectionsByAddress[aAddress];
-    if (connections.size() >= static_cast<std::size_t>(maxPerUpstream)) {
-      closeLeastRecentlyActiveIdle(connections);
-    }
-    if (connections.size() >= static_cast<std::size_t>(maxPerUpstream)) {
+    makeRoom(connections);
+    if (connections.size() >= static_cast<std::size_t>(maxPerUpstream) ||
+        connectionCount >= maxConnections) {
       return nullptr;
     }
     auto connection =
@@ -101,13 +132,15 @@
                                            }
                                          });
     connections.push_back(connection);
+    ++connectionCount;
     return connection;
   }
 
   void remove(const Address& aAddress, const PooledConnection& aConnection)
   {
-    std::erase_if(connectionsByAddress[aAddress],
-                  [&](const auto& aOther) { return aOther.get() == &aConnection; });
+    connectionCount -=
+      std::erase_if(connectionsByAddress[aAddress],
+                    [&](const auto& aOther) { return aOther.get() == &aConnection; });
   }
 
   void closeStaleIdle(std::uint64_t aExchangeId)
@@ -152,7 +185,7 @@
 
 UpstreamConnectionPool::UpstreamConnectionPool(TimerService& aTimers,
                                                int aMaxConnectionsPerUpstream)
-  : mImpl(std::make_unique<Impl>(Impl{ aTimers, 1, {}, {}, {}, 1, {} }))
+  : mImpl(std::make_unique<Impl>(aTimers))
 {
   setConnectionsPerUpstream(aMaxConnectionsPerUpstream);
   auto* const impl = mImpl.get();
@@ -237,14 +270,16 @@
   mImpl->maxPerUpstream = std::max(1, aMaxConnections);
 }
 
+void
+UpstreamConnectionPool::setMaxConnections(int aMaxConnections)
+{
+  mImpl->maxConnections = static_cast<std::size_t>(std::max(1, aMaxConnections));
+}
+
 std::size_t
 UpstreamConnectionPool::connectionCount() const
 {
-  std::size_t n = 0;
-  for (const auto& [address, connections] : mImpl->connectionsByAddress) {
-    n += connections.size();
-  }
-  return n;
+  return mImpl->connectionCount;
 }
 
 } // namespace masticwall::http
--- a/libs/settings/include/settings/EntrySettings.h
+++ b/libs/settings/include/settings/EntrySettings.h
@@ -16,10 +16,11 @@
   std::uint16_t operatorPort = 8082; ///< state dump, metrics, drain
   std::uint16_t controlPort = 8083;  ///< of this VM's control process
   int workers = 2;                   ///< number of worker threads
-  Duration requestTimeout{ 10s };    ///< from a request's first byte to its last
-  Duration idleTimeout{ 60s };       ///< of a caller's connection between requests
-  Duration noticePeriod{ 5s };       ///< how long after SIGTERM connections are accepted
-  Duration maxDrainTime{ 60s };      ///< max time from SIGTERM to the exit
+  int maxSockets = 0; ///< sockets and pipes of the process; 0: by the system's limit
+  Duration requestTimeout{ 10s }; ///< from a request's first byte to its last
+  Duration idleTimeout{ 60s };    ///< of a caller's connection between requests
+  Duration noticePeriod{ 5s };    ///< how long after SIGTERM connections are accepted
+  Duration maxDrainTime{ 60s };   ///< max time from SIGTERM to the exit
 
   Locality locality() const
   {
--- a/libs/telemetry/include/telemetry/LogEvent.h
+++ b/libs/telemetry/include/telemetry/LogEvent.h
@@ -13,6 +13,7 @@
   StopRequested,
   Drained, ///< all calls and claims in progress have ended after a stop request
   ListenFailed,
+  AcceptFailed,      ///< a caller's connection could not be accepted
   SettingsWrong,     ///< a reload failed; the old settings stay in use
   PresetInForce,     ///< a new configuration (preset) is in use
   PresetInvalid,     ///< a new preset was rejected
@@ -55,12 +56,13 @@
 template<>
 struct EnumTable<LogEvent>
 {
-  static constexpr std::array<EnumName<LogEvent>, 42> kEntries{ {
+  static constexpr std::array<EnumName<LogEvent>, 43> kEntries{ {
     { LogEvent::Started, "started" },
     { LogEvent::Stopped, "stopped" },
     { LogEvent::StopRequested, "stop-requested" },
     { LogEvent::Drained, "drained" },
     { LogEvent::ListenFailed, "listen-failed" },
+    { LogEvent::AcceptFailed, "accept-failed" },
     { LogEvent::SettingsWrong, "settings-wrong" },
     { LogEvent::PresetInForce, "preset-in-force" },
     { LogEvent::PresetInvalid, "preset-invalid" },
