Refuse requests whose framing is in doubt, and write any request that is taken

By hand in the review: TRACE with a body ended the gateway, as the library throws when it is written, and a Transfer-Encoding like "chunked, identity" or "xchunked" was ignored, so that the body ran as a request of its own. A target in absolute form is read as RFC 9112 asks. Not fuzzed yet.

--- a/libs/http/include/http/HttpError.h
+++ b/libs/http/include/http/HttpError.h
@@ -11,22 +11,24 @@
   HeaderTooLarge,
   BodyTooLarge,
   Timeout,
-  Incomplete, ///< the connection ended within the message
-  Surplus,    ///< received bytes that belong to no request
-  Unframed,   ///< a response without a length, delimited by the connection's close
+  Incomplete,            ///< the connection ended within the message
+  Surplus,               ///< received bytes that belong to no request
+  UnknownTransferCoding, ///< a transfer coding other than "chunked"
+  Unframed, ///< a response without a length, delimited by the connection's close
 };
 
 template<>
 struct EnumTable<HttpError>
 {
   static constexpr const char* kCategory = "http";
-  static constexpr std::array<EnumName<HttpError>, 7> kEntries{ {
+  static constexpr std::array<EnumName<HttpError>, 8> kEntries{ {
     { HttpError::Malformed, "malformed" },
     { HttpError::HeaderTooLarge, "header-too-large" },
     { HttpError::BodyTooLarge, "body-too-large" },
     { HttpError::Timeout, "timeout" },
     { HttpError::Incomplete, "incomplete" },
     { HttpError::Surplus, "surplus" },
+    { HttpError::UnknownTransferCoding, "unknown-transfer-coding" },
     { HttpError::Unframed, "unframed" },
   } };
 };
@@ -42,6 +44,8 @@
       return 413;
     case HttpError::Timeout:
       return 408;
+    case HttpError::UnknownTransferCoding:
+      return 501;
     default:
       return 400;
   }
--- a/libs/http/src/RequestParser.cpp
+++ b/libs/http/src/RequestParser.cpp
@@ -1,11 +1,70 @@
 #include "BeastMessage.h"
+#include <algorithm>
 #include <http/RequestParser.h>
 
 namespace masticwall::http {
 
+namespace {
+
+using Parser = beast::request_parser<beast::string_body>;
+
+/** Beast can't store longer field names and values. */
+constexpr std::uint32_t kMaxHeaderBytes = 60 * kKiB;
+
+constexpr std::string_view kHttpScheme = "http://";
+
+/**
+ * Checks what decides where the request ends, beyond what Beast does. Beast ignores
+ * transfer codings that it does not know, and would take the body for the next request.
+ */
+std::optional<HttpError>
+checkFraming(const Parser& aParser)
+{
+  const auto& message = aParser.get();
+  const auto codings = message.equal_range(beast::field::transfer_encoding);
+  const auto n = std::distance(codings.first, codings.second);
+  if (n > 1 || (n == 1 && message.version() < 11)) {
+    return HttpError::Malformed;
+  }
+  if (n == 1 && !boost::beast::iequals(codings.first->value(), "chunked")) {
+    const auto value = toString(codings.first->value());
+    const bool isToken = !value.empty() && value.find_first_of(", \t;") == value.npos;
+    return isToken ? HttpError::UnknownTransferCoding : HttpError::Malformed;
+  }
+  return std::nullopt;
+}
+
+/** Changes the absolute form of the target, which is meant for proxies, to the origin
+ * form and a Host field. Returns false if the target is neither. */
+bool
+toOriginForm(Request& aRequest)
+{
+  auto& target = aRequest.target;
+  if (target.starts_with('/')) {
+    return true;
+  }
+  const auto scheme = target.substr(0, kHttpScheme.size());
+  if (!boost::beast::iequals(scheme, kHttpScheme.data())) {
+    return false;
+  }
+  const auto end =
+    std::min(target.find_first_of("/?", kHttpScheme.size()), target.size());
+  const auto authority = target.substr(kHttpScheme.size(), end - kHttpScheme.size());
+  const auto path = target.substr(end);
+  if (authority.empty() || authority.find('@') != authority.npos) {
+    return false;
+  }
+  removeHeader(aRequest.headers, "Host");
+  aRequest.headers.push_back({ "Host", authority });
+  target = path.starts_with('/') ? path : '/' + path;
+  return true;
+}
+
+} // namespace
+
 struct RequestParser::Impl
 {
-  beast::request_parser<beast::string_body> parser;
+  Parser parser;
   MessageLimits limits;
 
   Request releaseRequest()
@@ -27,7 +86,7 @@
 {
   mImpl->limits = aLimits;
   mImpl->parser.eager(true);
-  mImpl->parser.header_limit(aLimits.maxHeaderBytes);
+  mImpl->parser.header_limit(std::min(aLimits.maxHeaderBytes, kMaxHeaderBytes));
   mImpl->parser.body_limit(aLimits.maxBodyBytes);
 }
 
@@ -43,6 +102,11 @@
   if (ec) {
     return toHttpError(ec);
   }
+  if (mImpl->parser.is_header_done()) {
+    if (const auto error = checkFraming(mImpl->parser)) {
+      return *error;
+    }
+  }
   if (isLineTooLong(mImpl->parser, aBytes, mImpl->limits)) {
     return HttpError::HeaderTooLarge;
   }
@@ -50,7 +114,8 @@
     return std::optional<Request>();
   }
   auto request = mImpl->releaseRequest();
-  if (!request.target.starts_with('/')) {
+  const bool isTraceWithBody = request.method == "TRACE" && !request.body.empty();
+  if (isTraceWithBody || !toOriginForm(request)) {
     return HttpError::Malformed;
   }
   return std::optional(std::move(request));
--- a/libs/http/src/Serializer.cpp
+++ b/libs/http/src/Serializer.cpp
@@ -14,6 +14,14 @@
   }
 }
 
+/** Whether the receiver wants to know the length of the body even if there is none. */
+bool
+mayExpectBody(beast::verb aMethod)
+{
+  return aMethod == beast::verb::post || aMethod == beast::verb::put ||
+         aMethod == beast::verb::patch;
+}
+
 bool
 hasNoBody(int aStatus)
 {
@@ -31,7 +39,10 @@
   message.target(aRequest.target);
   addHeaders(message, aRequest.headers);
   message.body() = aRequest.body;
-  message.prepare_payload();
+  // Not by prepare_payload(), which throws for a method that may have no body.
+  if (!aRequest.body.empty() || mayExpectBody(message.method())) {
+    message.content_length(aRequest.body.size());
+  }
   return toBytes(message, false);
 }
 
