Accept whole responses that end with their connection

A whole response without a length was never accepted: how the connection ended was asked of a descriptor that Qt had closed already, so that each end counted as a reset, and callers got 502. ConnectionEndProbe keeps a second descriptor while such a response comes in.

--- a/libs/http/include/http/ResponseParser.h
+++ b/libs/http/include/http/ResponseParser.h
@@ -36,6 +36,9 @@
    */
   Result<Response> finish();
 
+  /** Whether the response's head is complete and its body ends with the connection. */
+  bool isCloseDelimited() const;
+
   /** The bytes of the body that have been received so far. */
   std::size_t bodyBytes() const;
 
--- a/libs/http/src/PooledConnection.cpp
+++ b/libs/http/src/PooledConnection.cpp
@@ -2,7 +2,6 @@
 #include <core/Bytes.h>
 #include <http/ExchangeError.h>
 #include <http/Serializer.h>
-#include <poll.h>
 
 namespace masticwall::http {
 
@@ -152,6 +151,9 @@
   }
   takeResponses();
   if (mExchange.has_value()) {
+    if (mParser->isCloseDelimited()) {
+      mEndProbe.watch(static_cast<int>(mSocket->socketDescriptor()));
+    }
     mBuffered.set(mBytes.size() + static_cast<qint64>(mParser->bodyBytes()));
     if (isBudgetExceeded()) {
       mObserver(*this);
@@ -206,15 +208,6 @@
   finish({}, std::move(aResponse));
 }
 
-bool
-PooledConnection::wasReset() const
-{
-  // Qt reports a reset and an orderly close alike.
-  pollfd descriptor{ static_cast<int>(mSocket->socketDescriptor()), POLLIN, 0 };
-  return descriptor.fd < 0 || poll(&descriptor, 1, 0) < 0 ||
-         (descriptor.revents & (POLLERR | POLLHUP | POLLNVAL)) != 0;
-}
-
 void
 PooledConnection::onDisconnected()
 {
@@ -223,7 +216,8 @@
     return;
   }
   if (mIsRequestWritten) {
-    const bool mayBeCloseDelimited = mExchange->allowCloseDelimited && !wasReset();
+    const bool mayBeCloseDelimited =
+      mExchange->allowCloseDelimited && mEndProbe.hasEndedInOrder();
     mBytes += mSocket->readAll();
     takeResponses();
     if (mExchange.has_value() && mayBeCloseDelimited) {
--- a/libs/http/src/PooledConnection.h
+++ b/libs/http/src/PooledConnection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "BufferedBytes.h"
+#include "ConnectionEndProbe.h"
 #include <QTcpSocket>
 #include <http/Exchange.h>
 #include <http/ResponseParser.h>
@@ -57,7 +58,6 @@
   void onConnected();
   void onReadable();
   void onDisconnected();
-  bool wasReset() const;
   void takeResponses();
   void onResponse(Response aResponse);
   void writeRequest();
@@ -75,6 +75,7 @@
   std::optional<ResponseParser> mParser;
   QByteArray mBytes;
   BufferedBytes mBuffered;
+  ConnectionEndProbe mEndProbe; ///< watches while a response ends with the connection
   TimerHandle mTimeoutTimer;
   Instant mLastActivity;
   Duration mKeepAliveTimeout = Duration::max();
--- a/libs/http/src/ResponseParser.cpp
+++ b/libs/http/src/ResponseParser.cpp
@@ -139,6 +139,13 @@
   }
 }
 
+bool
+ResponseParser::isCloseDelimited() const
+{
+  return mImpl->parser->is_header_done() && !mImpl->isInterim() &&
+         mImpl->isCloseDelimited();
+}
+
 std::size_t
 ResponseParser::bodyBytes() const
 {
