Clear suspects that run to their end, and tell gateways that start of the others

Two crashes prove little of a request that is in flight everywhere, but a run to its end disproves them: it clears the request's crashes, here and, if it was blocked, at all VMs. A blocked request is tried again by about one process in 30 s, then 60 s and so on, and never retried. The digest holds the host. A gateway that starts gets the counts with its first answers of peers; after a restart of the whole fleet they are gone, those of a data centre come from the others.

--- a/libs/control/src/ControlDaemon.cpp
+++ b/libs/control/src/ControlDaemon.cpp
@@ -301,8 +301,7 @@
     return;
   }
   const auto& report = suspect.value();
-  if (!tables.suspects.merge(
-        report.request, report.reporter, report.crashCount, timers.now())) {
+  if (!tables.suspects.merge(report, timers.now())) {
     aReply(QByteArray());
     return;
   }
--- a/libs/entry/include/entry/ControlPlane.h
+++ b/libs/entry/include/entry/ControlPlane.h
@@ -39,7 +39,7 @@
   /** Reports a request that crashed an upstream to the other VMs. Calls back once, when
    * the caller may get its response: after the other VMs have the report or can't be
    * reached, or at once if the owner does not wait for them. */
-  std::function<void(const Suspect&, std::function<void()>)> reportSuspect;
+  std::function<void(const SuspectCount&, std::function<void()>)> reportSuspect;
 
   /** Whether presets and membership are kept up to date: the control process that feeds
    * them can be reached, or the source has been read recently. */
--- a/libs/entry/src/Call.h
+++ b/libs/entry/src/Call.h
@@ -45,6 +45,7 @@
   /** Of the request, to recognise one that crashes upstreams. Always set for an order;
    * otherwise only once a suspect request is known or an upstream may have crashed. */
   Digest fingerprint;
+  bool isTrial = false; ///< of a suspect that is blocked; see SuspectList
 
   std::size_t pendingLoadQueries = 0; ///< unanswered load queries, in stage QueryingLoads
   int loadQueryRounds = 0;
--- a/libs/entry/src/CallerIdentity.cpp
+++ b/libs/entry/src/CallerIdentity.cpp
@@ -45,9 +45,11 @@
 }
 
 Digest
-requestDigest(const http::Request& aRequest)
+requestDigest(const http::Request& aRequest, std::string_view aHost)
 {
-  return digestOf({ aRequest.method, aRequest.target, aRequest.body });
+  return aHost.empty()
+           ? digestOf({ aRequest.method, aRequest.target, aRequest.body })
+           : digestOf({ aRequest.method, aRequest.target, aRequest.body, aHost });
 }
 
 } // namespace masticwall
--- a/libs/entry/src/CallerIdentity.h
+++ b/libs/entry/src/CallerIdentity.h
@@ -18,8 +18,9 @@
 Digest
 keyDigest(const http::Request& aRequest);
 
-/** Hash of a request's method, target and body. */
+/** Hash of a request's method, target and body, and of the host that it is meant for
+ * unless that is empty. */
 Digest
-requestDigest(const http::Request& aRequest);
+requestDigest(const http::Request& aRequest, std::string_view aHost);
 
 } // namespace masticwall
--- a/libs/entry/src/ControlClient.cpp
+++ b/libs/entry/src/ControlClient.cpp
@@ -83,7 +83,7 @@
 }
 
 void
-ControlClient::reportSuspect(const Suspect& aSuspect, std::function<void()> aDone)
+ControlClient::reportSuspect(const SuspectCount& aSuspect, std::function<void()> aDone)
 {
   mClient.request(paths::kSuspect,
                   encode(aSuspect),
--- a/libs/entry/src/ControlClient.h
+++ b/libs/entry/src/ControlClient.h
@@ -37,7 +37,7 @@
   void reportLeaving(const std::string& aVm, const std::string& aInstance);
 
   /** Calls back once the other VMs have the report, or can't be reached in time. */
-  void reportSuspect(const Suspect& aSuspect, std::function<void()> aDone);
+  void reportSuspect(const SuspectCount& aSuspect, std::function<void()> aDone);
 
   bool isConnected() const { return mIsConnected; }
 
--- a/libs/entry/src/EntryDaemon.cpp
+++ b/libs/entry/src/EntryDaemon.cpp
@@ -73,7 +73,7 @@
                                       const std::string& aInstance) {
     control.reportLeaving(aVm, aInstance);
   };
-  controlPlane.reportSuspect = [this](const Suspect& aSuspect,
+  controlPlane.reportSuspect = [this](const SuspectCount& aSuspect,
                                       std::function<void()> aDone) {
     control.reportSuspect(aSuspect, std::move(aDone));
   };
--- a/libs/entry/src/EntryWorker.h
+++ b/libs/entry/src/EntryWorker.h
@@ -134,6 +134,9 @@
   void checkForCrash(Call& aCall);
   void reportCrash(std::uint64_t aCall, const Digest& aFingerprint);
 
+  /** An upstream has run the call to its end: if it is a suspect, it is one no more. */
+  void recordRunToEnd(const Call& aCall);
+
   /** Retries or ends the call, whether the upstream has crashed or not. */
   void onCrashCheckDone(std::uint64_t aCall);
 
--- a/libs/entry/src/EntryWorkerArrival.cpp
+++ b/libs/entry/src/EntryWorkerArrival.cpp
@@ -96,10 +96,17 @@
   aCall.deadlineTimer =
     mTimers.scheduleAt(aCall.deadline, [this, id] { onDeadline(id); });
   if (aCall.isOrder() || !mTables.suspects.isEmpty()) {
-    aCall.fingerprint = requestDigest(aCall.request);
-    if (mTables.suspects.isBlocked(aCall.fingerprint, mTimers.now())) {
-      endWithError(aCall, CallError::Suspect);
-      return;
+    aCall.fingerprint = requestDigest(aCall.request, aCall.metadata.host);
+    const auto now = mTimers.now();
+    if (mTables.suspects.isBlocked(aCall.fingerprint, now)) {
+      aCall.isTrial = mTables.suspects.tryTakeTrial(
+        aCall.fingerprint, mTables.entryCount, now, mRandom);
+      if (!aCall.isTrial) {
+        endWithError(aCall, CallError::Suspect);
+        return;
+      }
+      logEvent(LogEvent::SuspectTried,
+               { { "id", aCall.metadata.id }, { "service", aCall.service } });
     }
   }
   if (aCall.isClaimedOrder() && !registerOrder(aCall)) {
--- a/libs/entry/src/EntryWorkerSending.cpp
+++ b/libs/entry/src/EntryWorkerSending.cpp
@@ -157,6 +157,9 @@
     return;
   }
   const bool isError = aResponse.status >= kFirstErrorStatus;
+  if (!isError) {
+    recordRunToEnd(aCall);
+  }
   endAttempt(aCall, isError ? AttemptOutcome::ErrorResponse : AttemptOutcome::Answered);
   if (isError && tryTakeRetry(aCall)) {
     aCall.stage = CallStage::Waiting;
@@ -229,7 +232,8 @@
 {
   const bool isInTime =
     aCall.stage == CallStage::Sending && mTimers.now() < aCall.deadline;
-  const bool mayRetry = !(aCall.isOrder() && aCall.lastAttemptMayHaveRun) && isInTime &&
+  const bool mayRetry = !aCall.isTrial &&
+                        !(aCall.isOrder() && aCall.lastAttemptMayHaveRun) && isInTime &&
                         aCall.attempts < aCall.route->attempts;
   if (!mayRetry) {
     return false;
--- a/libs/entry/src/FeedApplier.cpp
+++ b/libs/entry/src/FeedApplier.cpp
@@ -15,7 +15,7 @@
     isChanged = true;
   }
   for (const auto& it : aFeed.suspects) {
-    mTables.suspects.merge(it.request, it.reporter, it.crashCount, aNow);
+    mTables.suspects.merge(it, aNow);
   }
   return isChanged;
 }
--- a/libs/feed/include/feed/FeedServer.h
+++ b/libs/feed/include/feed/FeedServer.h
@@ -46,7 +46,7 @@
    * server with one client only: a suspect goes to the client that is replied to next,
    * and a request of any client counts as its receipt.
    */
-  void addSuspect(const Suspect& aSuspect, std::function<void()> aOnReceived);
+  void addSuspect(const SuspectCount& aSuspect, std::function<void()> aOnReceived);
 
   /** When the last request arrived; Instant{} before the first. */
   Instant lastRequestAt() const { return mLastRequestAt; }
@@ -69,7 +69,7 @@
   const P& mProvider;
   Duration mMaxWait;
   std::list<WaitingRequest> mWaitingRequests;
-  std::vector<Suspect> mSuspects;                      ///< not yet sent
+  std::vector<SuspectCount> mSuspects;                 ///< not yet sent
   std::vector<std::function<void()>> mOnReceived;      ///< callbacks of mSuspects
   std::vector<std::function<void()>> mAwaitingReceipt; ///< callbacks of sent suspects
   Instant mLastRequestAt;
@@ -113,7 +113,7 @@
 
 template<FeedProvider P>
 void
-FeedServer<P>::addSuspect(const Suspect& aSuspect, std::function<void()> aOnReceived)
+FeedServer<P>::addSuspect(const SuspectCount& aSuspect, std::function<void()> aOnReceived)
 {
   mSuspects.push_back(aSuspect);
   mOnReceived.push_back(std::move(aOnReceived));
@@ -125,7 +125,8 @@
 FeedServer<P>::reply(const FeedRequest& aHave, const PeerServer::ReplyCallback& aReply)
 {
   auto feed = mProvider.makeFeed(aHave);
-  feed.suspects = std::exchange(mSuspects, {});
+  feed.suspects.insert(feed.suspects.end(), mSuspects.begin(), mSuspects.end());
+  mSuspects.clear();
   auto callbacks = std::exchange(mOnReceived, {});
   mAwaitingReceipt.insert(mAwaitingReceipt.end(), callbacks.begin(), callbacks.end());
   aReply(encode(feed));
--- a/libs/gateway/include/gateway/ConfigSync.h
+++ b/libs/gateway/include/gateway/ConfigSync.h
@@ -50,6 +50,8 @@
     , mCache(aTimers)
     , mFeedServer(aTimers, mCache, kMaxFeedWait)
   {
+    mCache.setSuspectSource(
+      [&aTables, &aTimers] { return aTables.suspects.openCounts(aTimers.now()); });
   }
 
   /**
@@ -91,6 +93,7 @@
                    std::uint64_t aGeneration,
                    const Result<QByteArray>& aReply);
   void applyFeed(const Feed& aFeed);
+  void applySuspects(const Feed& aFeed);
 
   /** Stops polling the peer, and looks for another. */
   void unsubscribe();
--- a/libs/gateway/include/gateway/ConfigSyncFeeds.h
+++ b/libs/gateway/include/gateway/ConfigSyncFeeds.h
@@ -81,10 +81,20 @@
   scheduleSearch();
 }
 
+template<ConfigSource S>
+void
+ConfigSync<S>::applySuspects(const Feed& aFeed)
+{
+  for (const auto& it : aFeed.suspects) {
+    mTables.suspects.merge(it, mTimers.now());
+  }
+}
+
 template<ConfigSource S>
 void
 ConfigSync<S>::applyFeed(const Feed& aFeed)
 {
+  applySuspects(aFeed);
   const auto readAt = mTimers.now() - std::chrono::milliseconds(aFeed.ageMs);
   const auto text = aFeed.sections.find(kWholePresetSection);
   if (text != aFeed.sections.end()) {
@@ -177,14 +187,18 @@
                              std::uint64_t aGeneration,
                              const Result<QByteArray>& aReply)
 {
-  if (aGeneration != mGeneration || aReply.has_error()) {
-    return; // outdated or failed; the next search asks the peer again
+  if (aReply.has_error()) {
+    return; // the next search asks the peer again
   }
   const auto feed = decodeFeed(aReply.value());
   if (feed.has_error()) {
     logEvent(LogEvent::MessageBad, { { "error", feed.error().message() } });
     return;
   }
+  applySuspects(feed.value());
+  if (aGeneration != mGeneration) {
+    return; // another peer has been found
+  }
   // A stale feed is accepted if its preset is newer: a VM that starts while the source is
   // unreachable needs one.
   const bool isNewer = feed.value().version > mCache.presetVersion();
--- a/libs/gateway/include/gateway/GatewayDaemon.h
+++ b/libs/gateway/include/gateway/GatewayDaemon.h
@@ -132,7 +132,7 @@
 GatewayDaemon<P>::makeControlPlane()
 {
   ControlPlane controlPlane;
-  controlPlane.reportSuspect = [this](const Suspect& aSuspect,
+  controlPlane.reportSuspect = [this](const SuspectCount& aSuspect,
                                       const std::function<void()>& aDone) {
     // Does not wait for replies: VMs that may be down must not delay the caller's
     // response.
@@ -177,9 +177,7 @@
     aReply(std::nullopt);
     return;
   }
-  const auto& it = suspect.value();
-  mProcess->tables().suspects.merge(
-    it.request, it.reporter, it.crashCount, mTimers.now());
+  mProcess->tables().suspects.merge(suspect.value(), mTimers.now());
   aReply(QByteArray());
 }
 
--- a/libs/gateway/include/gateway/SourceCache.h
+++ b/libs/gateway/include/gateway/SourceCache.h
@@ -2,6 +2,7 @@
 
 #include <decide/MembershipHistory.h>
 #include <feed/FeedProvider.h>
+#include <functional>
 #include <runtime/TimerService.h>
 #include <string>
 
@@ -27,10 +28,17 @@
 
   /**
    * The parts that are newer than `aHave`. If its `mayWait` is false, only the preset
-   * version, the read sequence number and the age.
+   * version, the read sequence number and the age. The suspects are included unless the
+   * requester follows this feed already: it may have been restarted, and others have
+   * reported them before.
    */
   Feed makeFeed(const FeedRequest& aHave) const;
 
+  using SuspectSource = std::function<std::vector<SuspectCount>()>;
+
+  /** Sets where the suspects of this process come from. */
+  void setSuspectSource(SuspectSource aSource) { mSuspectSource = std::move(aSource); }
+
   /** Sets the preset; the version must be higher than the current one. */
   void putPreset(std::uint64_t aVersion, std::string aText);
 
@@ -55,6 +63,7 @@
   void addVms(const FeedRequest& aHave, Feed& aFeed) const;
 
   TimerService& mTimers;
+  SuspectSource mSuspectSource;
   MembershipHistory mHistory;
   std::string mPresetText;
   std::uint64_t mPresetVersion = 0;
--- a/libs/gateway/src/SourceCache.cpp
+++ b/libs/gateway/src/SourceCache.cpp
@@ -40,6 +40,9 @@
   feed.ageMs =
     static_cast<std::uint64_t>(toMilliseconds(std::min(age(), kAgeBeforeFirstRead)));
   feed.revision = aHave.revision; // the membership is not included yet
+  if (aHave.revision == 0 && mSuspectSource != nullptr) {
+    feed.suspects = mSuspectSource();
+  }
   if (!aHave.mayWait) {
     return feed;
   }
--- a/libs/messages/include/messages/Feed.h
+++ b/libs/messages/include/messages/Feed.h
@@ -21,12 +21,12 @@
   std::uint64_t version = 0; ///< of the active preset
   std::string preset;        ///< its name; empty if not newer, or from a gateway process
   std::map<std::string, std::string> sections; ///< of the preset, by name
-  bool isSectionsDelta = false;  ///< `sections` has only those newer than the requester's
-  std::uint64_t revision = 0;    ///< of the membership
-  VmList vms;                    ///< empty if unchanged
-  bool isVmsDelta = false;       ///< `vms` and `removed` are only the changes
-  std::vector<VmKey> removed;    ///< VMs that are no longer listed
-  std::vector<Suspect> suspects; ///< reports that arrived since the previous reply
+  bool isSectionsDelta = false; ///< `sections` has only those newer than the requester's
+  std::uint64_t revision = 0;   ///< of the membership
+  VmList vms;                   ///< empty if unchanged
+  bool isVmsDelta = false;      ///< `vms` and `removed` are only the changes
+  std::vector<VmKey> removed;   ///< VMs that are no longer listed
+  std::vector<SuspectCount> suspects; ///< new ones, or all that a VM which starts needs
 
   /** Time since the source was last read; 0 from a control process, which has none. */
   std::uint64_t ageMs = 0;
--- a/libs/messages/include/messages/Paths.h
+++ b/libs/messages/include/messages/Paths.h
@@ -17,7 +17,7 @@
 inline constexpr const char* kConfigState = "/config";
 /** LeavingNotice to an empty reply. */
 inline constexpr const char* kPeerLeaving = "/peer-leaving";
-/** Suspect to an empty reply. Also served to the entry process on the same VM. */
+/** SuspectCount to an empty reply. Also served to the entry process on the same VM. */
 inline constexpr const char* kSuspect = "/suspect";
 
 // Served by an entry process to those of other VMs.
--- a/libs/messages/src/Field.h
+++ b/libs/messages/src/Field.h
@@ -8,7 +8,7 @@
  */
 enum class Field : int
 {
-  Vm = 1, ///< VM's name; in a Suspect: the reporter
+  Vm = 1, ///< VM's name; in a SuspectCount: the reporter
   Incarnation = 2,
   Sequence = 3,
   Key = 4, ///< digest of a caller and its idempotency key
@@ -59,6 +59,7 @@
   Capacity = 49,
   Compressed = 50, ///< another map, compressed; the only field of its map
   IsVmsDelta = 51,
+  ClearedCount = 52,
 };
 
 } // namespace masticwall
--- a/libs/messages/src/SuspectFields.h
+++ b/libs/messages/src/SuspectFields.h
@@ -9,10 +9,10 @@
 
 /** Encodes a suspect as a CBOR map, for a message of its own or for a feed. */
 QCborMap
-toMap(const Suspect& aSuspect);
+toMap(const SuspectCount& aSuspect);
 
 /** Decodes the map of a suspect. Fails with a MessageError. */
-Result<Suspect>
+Result<SuspectCount>
 toSuspect(CborReader aReader);
 
 } // namespace masticwall
--- a/libs/messages/tests/MessagesTest.cpp
+++ b/libs/messages/tests/MessagesTest.cpp
@@ -29,13 +29,14 @@
   feed.sections["general"] = "text";
   feed.vms.push_back(
     { "vm-1", VmRole::Upstream, "r", "d", "s", "127.0.0.1", 1, 2, 3, "i", true });
-  feed.suspects.push_back({ Digest{ { 4 } }, "vm-1#1", 2 });
+  feed.suspects.push_back({ Digest{ { 4 } }, "vm-1#1", 2, 1 });
   const auto decoded = decodeFeed(encode(feed));
   REQUIRE(decoded.has_value());
   CHECK(decoded.value().version == 9);
   CHECK(decoded.value().sections == feed.sections);
   CHECK(decoded.value().vms == feed.vms);
-  CHECK(decoded.value().suspects.at(0).crashCount == 2);
+  CHECK(decoded.value().suspects.at(0).crashes == 2);
+  CHECK(decoded.value().suspects.at(0).cleared == 1);
 }
 
 TEST_CASE("a large feed is compressed and decodes to what was encoded")
--- a/libs/tables/include/tables/SuspectTable.h
+++ b/libs/tables/include/tables/SuspectTable.h
@@ -12,24 +12,25 @@
 class SuspectTable
 {
 public:
-  /**
-   * Counts an upstream's crash during `aRequest`, as seen by `aReporter`; returns the
-   * reporter's count.
-   */
-  int recordCrash(const Digest& aRequest, const std::string& aReporter, Instant aNow)
+  /** See SuspectList for all functions. */
+  SuspectCount recordCrash(const Digest& aRequest,
+                           const std::string& aReporter,
+                           Instant aNow)
   {
     std::scoped_lock lock(mMutex);
     return mList.recordCrash(aRequest, aReporter, aNow);
   }
 
-  /** Raises the crash count of `aReporter` to `aCrashes`; false if it is not lower. */
-  bool merge(const Digest& aRequest,
-             const std::string& aReporter,
-             int aCrashes,
-             Instant aNow)
+  bool merge(const SuspectCount& aCount, Instant aNow)
   {
     std::scoped_lock lock(mMutex);
-    return mList.merge(aRequest, aReporter, aCrashes, aNow);
+    return mList.merge(aCount, aNow);
+  }
+
+  std::vector<SuspectCount> recordSuccess(const Digest& aRequest, Instant aNow)
+  {
+    std::scoped_lock lock(mMutex);
+    return mList.recordSuccess(aRequest, aNow);
   }
 
   bool isEmpty() const
@@ -38,13 +39,25 @@
     return mList.isEmpty();
   }
 
-  /** True if the request has crashed too many upstreams to be sent again. */
   bool isBlocked(const Digest& aRequest, Instant aNow) const
   {
     std::scoped_lock lock(mMutex);
     return mList.isBlocked(aRequest, aNow);
   }
 
+  template<RandomSource R>
+  bool tryTakeTrial(const Digest& aRequest, int aProcesses, Instant aNow, R& aRandom)
+  {
+    std::scoped_lock lock(mMutex);
+    return mList.tryTakeTrial(aRequest, aProcesses, aNow, aRandom);
+  }
+
+  std::vector<SuspectCount> openCounts(Instant aNow) const
+  {
+    std::scoped_lock lock(mMutex);
+    return mList.openCounts(aNow);
+  }
+
 private:
   mutable OrderedMutex mMutex{ LockLevel::Suspect };
   SuspectList mList;
--- a/libs/telemetry/include/telemetry/LogEvent.h
+++ b/libs/telemetry/include/telemetry/LogEvent.h
@@ -35,8 +35,10 @@
   UpstreamHeldOff,   ///< an upstream wants no requests for a time
   RetryAfterBad,     ///< an upstream's Retry-After is no time; it is ignored
   SuspectStopped,    ///< not retried: the request is blocked, as it crashed upstreams
-  OrderUnknown,      ///< an order ended with an unknown outcome
-  MessageBad,        ///< a message could not be decoded
+  SuspectTried,   ///< sent once although it is blocked, to see whether it still crashes
+  SuspectCleared, ///< a blocked request has run to its end and is let through again
+  OrderUnknown,   ///< an order ended with an unknown outcome
+  MessageBad,     ///< a message could not be decoded
   ReloadRequested,
   Reloaded,
   CallRefused,       ///< refused before it was matched to a route
@@ -56,7 +58,7 @@
 template<>
 struct EnumTable<LogEvent>
 {
-  static constexpr std::array<EnumName<LogEvent>, 43> kEntries{ {
+  static constexpr std::array<EnumName<LogEvent>, 45> kEntries{ {
     { LogEvent::Started, "started" },
     { LogEvent::Stopped, "stopped" },
     { LogEvent::StopRequested, "stop-requested" },
@@ -84,6 +86,8 @@
     { LogEvent::UpstreamHeldOff, "upstream-held-off" },
     { LogEvent::RetryAfterBad, "retry-after-bad" },
     { LogEvent::SuspectStopped, "suspect-stopped" },
+    { LogEvent::SuspectTried, "suspect-tried" },
+    { LogEvent::SuspectCleared, "suspect-cleared" },
     { LogEvent::OrderUnknown, "order-unknown" },
     { LogEvent::MessageBad, "message-bad" },
     { LogEvent::ReloadRequested, "reload-requested" },
