Take VMs that are gone off the list of masticwall's VMs

They were never taken off, so that each VM's share of connections, retries and load queries stayed too small. The VM that reads for all asks the others in turn, each about once a minute; one that fails three times in a row over more than a minute is taken off, and lists itself again if it still runs.

--- a/libs/gateway/include/gateway/ConfigSource.h
+++ b/libs/gateway/include/gateway/ConfigSource.h
@@ -31,6 +31,9 @@
   /** Adds this VM to the list of masticwall VMs, so that the others find it. */
   aSource.announce(aOwn, aDone);
 
+  /** Takes a VM of masticwall that is gone off that list. */
+  aSource.withdraw(aText, aDone);
+
   /** Sets the retry and probe budgets of presets that are decoded from now on. */
   aSource.setBudgets(aSettings);
 
--- a/libs/gateway/include/gateway/ConfigSync.h
+++ b/libs/gateway/include/gateway/ConfigSync.h
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <decide/FeedCursor.h>
 #include <decide/FeedTreePosition.h>
+#include <decide/MemberSweep.h>
 #include <decide/PeerReachability.h>
 #include <decide/VmListMerger.h>
 #include <entry/EntryTables.h>
@@ -49,6 +50,7 @@
     , mClients(aTimers, kFeedPeerTimeouts)
     , mCache(aTimers)
     , mFeedServer(aTimers, mCache, kMaxFeedWait)
+    , mSweepClients(aTimers, kFeedPeerTimeouts)
   {
     mCache.setSuspectSource(
       [&aTables, &aTimers] { return aTables.suspects.openCounts(aTimers.now()); });
@@ -120,9 +122,23 @@
   void updateTreePosition();
   void requestFeed(const Vm& aVm, const FeedRequest& aHave, PeerClient::Callback aDone);
 
+  // Members
+
+  /** While this VM is the one that reads for all: asks the other VMs in turn whether they
+   * still run, and takes those that are gone off the list. */
+  void scheduleSweep();
+  void sweep();
+  void onSweepReply(const std::string& aVm, const Result<QByteArray>& aReply);
+
+  /** All masticwall VMs in the membership but this one. */
+  VmList otherMembers() const;
+
   // Reading the source
   void announce();
 
+  /** Lists this VM again if another has taken it off the list. */
+  void announceIfMissing(const VmList& aVms);
+
   /** Reads the list of masticwall VMs from the source, if no peer is polled by then. */
   void fetchVmList();
 
@@ -152,6 +168,10 @@
   FeedServer<SourceCache> mFeedServer;
   FeedTreePosition mTreePosition;
   PeerReachability mReachability;
+  MemberSweep mMemberSweep;
+  PeerClients mSweepClients; ///< not kept, so that no VM is connected to all others
+  Instant mAnnouncedAt;
+  TimerHandle mSweepTimer;
   VmListMerger mMerger;
   FeedCursor mCursor;                    ///< position in the feed of the polled peer
   std::optional<std::size_t> mPeerIndex; ///< polled peer, in the feed candidates
@@ -173,4 +193,5 @@
 } // namespace masticwall
 
 #include <gateway/ConfigSyncFeeds.h>
+#include <gateway/ConfigSyncMembers.h>
 #include <gateway/ConfigSyncReading.h>
--- a/libs/gateway/include/gateway/ConfigSyncReading.h
+++ b/libs/gateway/include/gateway/ConfigSyncReading.h
@@ -19,18 +19,6 @@
   });
 }
 
-template<ConfigSource S>
-void
-ConfigSync<S>::announce()
-{
-  mSource.announce(mOwnVm, [this](const Result<void>& aResult) {
-    if (aResult.has_error()) {
-      mAnnounceTimer =
-        mTimers.scheduleAfter(withJitter(kAnnounceRetryDelay), [this] { announce(); });
-    }
-  });
-}
-
 template<ConfigSource S>
 void
 ConfigSync<S>::fetchVmList()
@@ -135,6 +123,7 @@
     applyVms(std::move(vms));
     mFeedServer.onChange();
   }
+  scheduleSweep();
   scheduleRead();
 }
 
@@ -210,6 +199,7 @@
              { { "vms", aVms.size() }, { "age_ms", toMilliseconds(mCache.age()) } });
     mCache.putVms(aVms);
     mReachability.retain(aVms);
+    announceIfMissing(aVms);
     mOnChange();
   }
   updateTreePosition();
--- a/libs/gateway/include/gateway/ConfigSyncTimings.h
+++ b/libs/gateway/include/gateway/ConfigSyncTimings.h
@@ -72,4 +72,8 @@
 /** Delay after a failed attempt to add this VM to the list at the source. */
 inline constexpr Duration kAnnounceRetryDelay = std::chrono::seconds(3);
 
+/** After this VM has added itself to the list, until the list that it knows must have it:
+ * not every read of the source includes the list. */
+inline constexpr Duration kMaxAnnounceTime = std::chrono::seconds(6);
+
 } // namespace masticwall
--- a/libs/telemetry/include/telemetry/LogEvent.h
+++ b/libs/telemetry/include/telemetry/LogEvent.h
@@ -51,14 +51,16 @@
   FeedLost,        ///< a request to a peer for its feed failed
   PeerAbsent,      ///< another VM has not replied for a while; its feed is not waited for
   PeerPresent,     ///< an absent VM replies again
-  RecordBad,       ///< a record of the source could not be decoded and was skipped
-  Suppressed,      ///< lines of another event exceeded its rate limit
+  MemberGone,      ///< a masticwall VM has not replied for long; taken off the list
+  MemberListedAgain, ///< this VM was missing in the list of masticwall VMs
+  RecordBad,         ///< a record of the source could not be decoded and was skipped
+  Suppressed,        ///< lines of another event exceeded its rate limit
 };
 
 template<>
 struct EnumTable<LogEvent>
 {
-  static constexpr std::array<EnumName<LogEvent>, 45> kEntries{ {
+  static constexpr std::array<EnumName<LogEvent>, 47> kEntries{ {
     { LogEvent::Started, "started" },
     { LogEvent::Stopped, "stopped" },
     { LogEvent::StopRequested, "stop-requested" },
@@ -102,6 +104,8 @@
     { LogEvent::FeedLost, "feed-lost" },
     { LogEvent::PeerAbsent, "peer-absent" },
     { LogEvent::PeerPresent, "peer-present" },
+    { LogEvent::MemberGone, "member-gone" },
+    { LogEvent::MemberListedAgain, "member-listed-again" },
     { LogEvent::RecordBad, "record-bad" },
     { LogEvent::Suppressed, "suppressed" },
   } };
--- a/tests/integration/LostPeersTest.cpp
+++ b/tests/integration/LostPeersTest.cpp
@@ -96,3 +96,14 @@
       waitUntil([&] { return statusOf(system.call(i, "GET", "/v21/", "both")) == 200; }));
   }
 }
+
+TEST_CASE("a VM that was taken off the list lists itself again")
+{
+  GatewaySystem system(2, 1);
+  REQUIRE(system.start());
+  REQUIRE(waitUntil([&] { return system.listedGateways() == 2; }));
+  for (int i = 0; i < 2; ++i) {
+    system.writeRecord("keyed.members", "front-" + std::to_string(i), "");
+  }
+  CHECK(waitUntil([&] { return system.listedGateways() == 2; }));
+}
