Reject messages with ports out of range and feeds of implausible size

KNOWN-RED, by reading: ports and slots of VMs in feeds and in the VM list were truncated, and a feed's stated size was believed before it was decompressed. MessagesTest has both.

--- a/libs/messages/src/Feed.cpp
+++ b/libs/messages/src/Feed.cpp
@@ -1,6 +1,9 @@
 #include "CborReader.h"
 #include "CborWriter.h"
 #include "SuspectFields.h"
+#include <QtEndian>
+#include <core/Bytes.h>
+#include <limits>
 #include <messages/Feed.h>
 
 namespace masticwall {
@@ -16,6 +19,9 @@
  */
 constexpr int kCompressionLevel = 1;
 
+/** A feed that claims to be larger is rejected, before memory is taken for it. */
+constexpr quint32 kMaxFeedBytes = 64 * kMiB;
+
 QCborMap
 toMap(const Vm& aVm)
 {
@@ -38,9 +44,21 @@
   return writer.map();
 }
 
+/** Reads a number up to the highest of type `T`; sets `aIsInRange` to false beyond it. */
+template<class T>
+T
+readNumber(CborReader& aReader, Field aField, bool& aIsInRange)
+{
+  const auto n = aReader.number(aField);
+  aIsInRange =
+    aIsInRange && n <= static_cast<std::uint64_t>(std::numeric_limits<T>::max());
+  return static_cast<T>(n);
+}
+
 Result<Vm>
 toVm(const QCborValue& aValue)
 {
+  bool isInRange = true;
   CborReader reader(aValue);
   Vm vm;
   vm.name = reader.text(Field::Name);
@@ -49,18 +67,21 @@
   vm.dataCentre = reader.text(Field::DataCentre);
   vm.service = reader.text(Field::Service);
   vm.host = reader.text(Field::Host);
-  vm.port = static_cast<std::uint16_t>(reader.number(Field::Port));
-  vm.controlPort = static_cast<std::uint16_t>(reader.number(Field::ControlPort));
-  vm.operatorPort = static_cast<std::uint16_t>(reader.number(Field::OperatorPort));
+  vm.port = readNumber<std::uint16_t>(reader, Field::Port, isInRange);
+  vm.controlPort = readNumber<std::uint16_t>(reader, Field::ControlPort, isInRange);
+  vm.operatorPort = readNumber<std::uint16_t>(reader, Field::OperatorPort, isInRange);
   vm.instance = reader.text(Field::Instance);
   vm.leaving = reader.flag(Field::Leaving);
-  vm.slots = static_cast<int>(reader.number(Field::Slots));
+  vm.slots = readNumber<int>(reader, Field::Slots, isInRange);
   vm.isWarmingUp = reader.flag(Field::IsWarmingUp);
   vm.isRetained = reader.flag(Field::IsRetained);
-  vm.capacity = static_cast<int>(reader.number(Field::Capacity));
+  vm.capacity = readNumber<int>(reader, Field::Capacity, isInRange);
   if (reader.error()) {
     return reader.error();
   }
+  if (!isInRange) {
+    return MessageError::Malformed;
+  }
   return vm;
 }
 
@@ -92,7 +113,15 @@
 {
   CborReader reader(aBytes);
   const auto compressed = reader.bytes(Field::Compressed);
-  return reader.error() ? aBytes : qUncompress(compressed);
+  if (reader.error()) {
+    return aBytes;
+  }
+  // qCompress() writes the uncompressed size first.
+  const bool hasSize = compressed.size() >= qsizetype{ sizeof(quint32) };
+  if (!hasSize || qFromBigEndian<quint32>(compressed.constData()) > kMaxFeedBytes) {
+    return {};
+  }
+  return qUncompress(compressed);
 }
 
 } // namespace
--- a/libs/messages/src/VmListMessage.cpp
+++ b/libs/messages/src/VmListMessage.cpp
@@ -1,6 +1,7 @@
 #include <QJsonArray>
 #include <QJsonDocument>
 #include <QJsonObject>
+#include <limits>
 #include <messages/MessageError.h>
 #include <messages/VmListMessage.h>
 
@@ -17,7 +18,9 @@
 std::uint16_t
 portOf(const QJsonObject& aObject, QLatin1String aKey)
 {
-  return static_cast<std::uint16_t>(aObject[aKey].toInt());
+  const auto port = aObject[aKey].toInt();
+  const bool isInRange = port > 0 && port <= std::numeric_limits<std::uint16_t>::max();
+  return isInRange ? static_cast<std::uint16_t>(port) : std::uint16_t{ 0 };
 }
 
 Result<Vm>
--- a/libs/messages/tests/MessagesTest.cpp
+++ b/libs/messages/tests/MessagesTest.cpp
@@ -97,3 +97,26 @@
   CHECK(parseVmList("{\"vms\":[{\"name\":\"x\",\"role\":\"upstream\"}]}").error() ==
         MessageError::FieldMissing);
 }
+
+TEST_CASE("a VM with a port that is out of range is rejected")
+{
+  const auto parse = [](const char* aPort) {
+    return parseVmList(
+      QByteArray(R"({"vms":[{"name":"x","role":"upstream","host":"h",)") + R"("port":)" +
+      aPort + "}]}");
+  };
+  CHECK(parse("8080").has_value());
+  for (const auto* const it : { "0", "-1", "65536", "73616", "1e300" }) {
+    CAPTURE(it);
+    CHECK(parse(it).has_error());
+  }
+}
+
+TEST_CASE("a feed that claims to be very large is rejected without taking memory for it")
+{
+  // A map with the field of compressed bytes only, whose size is given as 4 GiB.
+  const QByteArray bytes("\xa1\x18\x32\x48\xff\xff\xff\xff\x78\x9c\x03\x00", 12);
+  CHECK(decodeFeed(bytes).has_error());
+  const QByteArray tooShort("\xa1\x18\x32\x42\x00\x00", 6);
+  CHECK(decodeFeed(tooShort).has_error());
+}
