--- a/libs/gateway/src/SourceCache.cpp
+++ b/libs/gateway/src/SourceCache.cpp
@@ -79,6 +79,9 @@
 {
   // Feeds state ages in whole milliseconds, so the same read may appear slightly later.
   constexpr Duration kSameReadTolerance = std::chrono::milliseconds(20);
+  if (mTimers.now() - aTime >= kAgeBeforeFirstRead) {
+    return; // the age that a process states which never read it
+  }
   mReadSequence += aTime > mReadAt + kSameReadTolerance ? 1 : 0;
   mReadAt = std::max(mReadAt, aTime);
 }
