--- a/tests/harness/GatewaySystem.cpp
+++ b/tests/harness/GatewaySystem.cpp
@@ -47,8 +47,7 @@
                                                        QString::number(kStorePort) });
   bool isListening = waitForPort(host(kStoreHost), kStorePort);
   for (int i = 0; i < static_cast<int>(mUpstreams.size()); ++i) {
-    mUpstreams[at(i)] = std::make_unique<ChildProcess>(QStringLiteral("standin-upstream"),
-                                                       upstreamArguments(i));
+    startUpstream(i);
     isListening = isListening && waitForPort(host(kFirstUpstream + i), kUpstreamPort);
     listUpstream(i, "ready");
   }
@@ -71,11 +70,19 @@
 GatewaySystem::startGateway(int aIndex)
 {
   writeSettings(aIndex);
+  keepLog(aIndex);
   mGateways[at(aIndex)] = std::make_unique<ChildProcess>(
     QStringLiteral("masticwall-gateway"),
     QStringList{ QStringLiteral("--settings"), settingsPath(aIndex) });
 }
 
+void
+GatewaySystem::startUpstream(int aIndex)
+{
+  mUpstreams[at(aIndex)] = std::make_unique<ChildProcess>(
+    QStringLiteral("standin-upstream"), upstreamArguments(aIndex));
+}
+
 int
 GatewaySystem::addGateway()
 {
@@ -155,9 +162,10 @@
                            const std::string& aKey,
                            const std::string& aValue)
 {
+  const std::string more = mWritesThroughOutages ? "&operator=1" : "";
   post(host(kStoreHost),
        kStorePort,
-       "/log-append?topic=" + aTopic + "&part=0",
+       "/log-append?topic=" + aTopic + "&part=0" + more,
        frame(aKey, aValue));
 }
 
@@ -193,13 +201,9 @@
 GatewaySystem::explain(const std::string& aId)
 {
   QStringList arguments{ QStringLiteral("explain"), QString::fromStdString(aId) };
-  for (std::size_t i = 0; i < mGateways.size(); ++i) {
-    const auto path = mDirectory.filePath(QStringLiteral("log-%1").arg(i));
-    QFile file(path);
-    if (file.open(QIODevice::Append)) {
-      file.write(mGateways[i]->standardOutput().toUtf8());
-    }
-    arguments.append(path);
+  keepLogs();
+  for (int i = 0; i < static_cast<int>(mGateways.size()); ++i) {
+    arguments.append(logPath(i));
   }
   ChildProcess ctl(QStringLiteral("masticwallctl"), arguments);
   return ctl.waitForEnd() == 0 ? ctl.standardOutput() : QString();
@@ -211,6 +215,30 @@
   return LedgerFile::read(mDirectory.filePath(QStringLiteral("ledger-%1").arg(aIndex)));
 }
 
+void
+GatewaySystem::keepLogs()
+{
+  for (int i = 0; i < static_cast<int>(mGateways.size()); ++i) {
+    keepLog(i);
+  }
+}
+
+void
+GatewaySystem::keepLog(int aIndex)
+{
+  const auto& gateway = mGateways[at(aIndex)];
+  QFile file(logPath(aIndex));
+  if (gateway != nullptr && file.open(QIODevice::Append)) {
+    file.write(gateway->standardOutput().toUtf8());
+  }
+}
+
+QString
+GatewaySystem::logPath(int aIndex) const
+{
+  return mDirectory.filePath(QStringLiteral("log-%1").arg(aIndex));
+}
+
 int
 GatewaySystem::runsOf(const std::string& aId) const
 {
@@ -225,15 +253,20 @@
   return host(kFirstGateway + aIndex);
 }
 
-std::map<std::string, int>
-GatewaySystem::runsById() const
+LedgerFile
+GatewaySystem::ledger() const
 {
   LedgerFile all;
   for (int i = 0; i < static_cast<int>(mUpstreams.size()); ++i) {
-    const auto name = QStringLiteral("ledger-%1").arg(i);
-    all.add(LedgerFile::read(mDirectory.filePath(name)));
+    all.add(ledgerOf(i));
   }
-  return all.runsByKey;
+  return all;
+}
+
+std::map<std::string, int>
+GatewaySystem::runsById() const
+{
+  return ledger().runsByKey;
 }
 
 QHostAddress
--- a/tests/harness/GatewaySystem.h
+++ b/tests/harness/GatewaySystem.h
@@ -24,6 +24,14 @@
   bool start();
 
   void startGateway(int aIndex);
+  void startUpstream(int aIndex);
+
+  /** From now on writes to the store take effect also while it is away for the gateways.
+   */
+  void writeThroughOutages() { mWritesThroughOutages = true; }
+
+  /** Appends what the gateways have logged to files, which explain() reads. */
+  void keepLogs();
   /** Starts one more gateway; returns its index. */
   int addGateway();
 
@@ -74,6 +82,9 @@
   /** The upstreams that ran the request `aId`, over all of them. */
   int runsOf(const std::string& aId) const;
 
+  /** What has reached all upstreams. */
+  LedgerFile ledger() const;
+
   /** The runs of each request, over all upstreams. */
   std::map<std::string, int> runsById() const;
   QHostAddress host(int aLast) const;
@@ -84,6 +95,8 @@
 
 private:
   static std::size_t at(int aIndex) { return static_cast<std::size_t>(aIndex); }
+  void keepLog(int aIndex);
+  QString logPath(int aIndex) const;
   QString settingsPath(int aIndex) const;
   QStringList upstreamArguments(int aIndex) const;
   http::Response post(const QHostAddress& aHost,
@@ -92,6 +105,7 @@
                       const std::string& aBody);
 
   int mNet;
+  bool mWritesThroughOutages = false;
   int mMaxFds = 4100;
   int mMemoryMb = 260;
   QTemporaryDir mDirectory;
--- a/tests/harness/LedgerFile.cpp
+++ b/tests/harness/LedgerFile.cpp
@@ -14,8 +14,9 @@
   for (const auto& line : file.readAll().split('\n')) {
     if (line == "probe") {
       ++ledger.probes;
-    } else if (line == "shed") {
+    } else if (line.startsWith("shed ")) {
       ++ledger.rejections;
+      ++ledger.arrivalsByKey[line.mid(5).toStdString()];
     } else if (line == "after-leaving") {
       ++ledger.afterLeaving;
     } else if (line.startsWith("failed ")) {
@@ -25,6 +26,7 @@
       const auto key = line.split(' ').at(1).toStdString();
       if (!key.empty()) {
         ++ledger.runsByKey[key];
+        ++ledger.arrivalsByKey[key];
       }
     }
   }
@@ -42,6 +44,9 @@
   for (const auto& [key, n] : aOther.runsByKey) {
     runsByKey[key] += n;
   }
+  for (const auto& [key, n] : aOther.arrivalsByKey) {
+    arrivalsByKey[key] += n;
+  }
 }
 
 int
--- a/tests/harness/LedgerFile.h
+++ b/tests/harness/LedgerFile.h
@@ -10,7 +10,8 @@
 /** What an upstream's ledger says so far. */
 struct LedgerFile
 {
-  std::map<std::string, int> runsByKey; ///< of requests with an idempotency key
+  std::map<std::string, int> runsByKey;     ///< of requests with an idempotency key
+  std::map<std::string, int> arrivalsByKey; ///< runs and rejections
   int runs = 0;
   int probes = 0;
   int rejections = 0;   ///< requests that the upstream did not run, as it was full
--- a/tests/standins/StoreService.cpp
+++ b/tests/standins/StoreService.cpp
@@ -17,12 +17,13 @@
     return;
   }
   ++mCalls;
-  if (mIsHanging) {
+  const bool isOperator = queryOf(aRequest).hasQueryItem(QStringLiteral("operator"));
+  if (mIsHanging && !isOperator) {
     return;
   }
   const auto topic =
     queryOf(aRequest).queryItemValue(QStringLiteral("topic")).toStdString();
-  if (mIsRefusing) {
+  if (mIsRefusing && !isOperator) {
     aResponder->respond({ 503, {}, {}, true });
   } else if (path == QLatin1String("/log-append")) {
     aResponder->respond(append(topic, aRequest.body));
--- a/tests/standins/StoreService.h
+++ b/tests/standins/StoreService.h
@@ -8,7 +8,8 @@
 /**
  * The platform's store, as far as masticwall uses it: keyed topics, of which the newest
  * record of each key is kept. POST /standin?name=value makes it hang or refuse, and
- * answers with the number of calls so far.
+ * answers with the number of calls so far. Calls with "operator" in the query come
+ * through all the same.
  */
 class StoreService
 {
--- a/tests/standins/Upstream.cpp
+++ b/tests/standins/Upstream.cpp
@@ -66,7 +66,7 @@
   }
   const bool isFull = static_cast<int>(mQueue.size()) >= mQueueLimit && mInUse >= mSlots;
   if (isFull || mIsShedding) {
-    aDone(shed());
+    aDone(shed(aRequest));
     return;
   }
   mQueue.push_back({ aRequest, std::move(aDone) });
@@ -280,9 +280,9 @@
 }
 
 http::Response
-Upstream::shed()
+Upstream::shed(const http::Request& aRequest)
 {
-  mLedger.write("shed");
+  mLedger.write("shed " + headerOf(aRequest, kRequestId));
   http::Response response{ 503, {}, "shed\n", true };
   if (!mRetryAfter.empty()) {
     response.headers.push_back({ "Retry-After", mRetryAfter });
--- a/tests/standins/Upstream.h
+++ b/tests/standins/Upstream.h
@@ -54,7 +54,7 @@
   void addSigns(http::Response& aResponse);
   void addPlatformSigns(http::Response& aResponse);
   bool isMeantForAnother(const http::Request& aRequest) const;
-  http::Response shed();
+  http::Response shed(const http::Request& aRequest);
 
   TimerService& mTimers;
   std::string mName;
