--- a/libs/decide/tests/HoldOffsTest.cpp
+++ b/libs/decide/tests/HoldOffsTest.cpp
@@ -43,6 +43,7 @@
 {
   test::ManualClock clock;
   std::vector<VmView> vms;
+  vms.reserve(kVms);
   for (int i = 0; i < kVms; ++i) {
     vms.emplace_back(static_cast<std::uint64_t>(i), clock.now());
   }
--- a/libs/decide/tests/SuspectListTest.cpp
+++ b/libs/decide/tests/SuspectListTest.cpp
@@ -32,7 +32,7 @@
 public:
   static constexpr int kVms = 16;
   static constexpr int kUpstreams = 14;
-  static constexpr int kSlots = 4;
+  static constexpr std::size_t kMaxCalls = 56; ///< slots of all upstreams
   static constexpr Duration kWork = 100ms;
   static constexpr Duration kStep = 5ms;
 
@@ -57,10 +57,10 @@
         crash(0);
         crash(1);
       }
-      for (int i = 0; i < kUpstreams * kSlots; ++i) {
+      for (int i = 0; i < static_cast<int>(kMaxCalls); ++i) {
         const bool isObserved =
           std::uniform_real_distribution<double>(0, 1)(mRandom) < aTraffic.share;
-        if (mCalls.size() >= kUpstreams * kSlots) {
+        if (mCalls.size() >= kMaxCalls) {
           break;
         }
         const auto request =
--- a/libs/gateway/tests/SourceCacheTest.cpp
+++ b/libs/gateway/tests/SourceCacheTest.cpp
@@ -21,7 +21,9 @@
 {
   TimerService timers;
   SourceCache cache(timers);
-  cache.setSuspectSource([] { return std::vector<SuspectCount>{ { {}, "vm#1", 2, 0 } }; });
+  cache.setSuspectSource([] {
+    return std::vector<SuspectCount>{ { {}, "vm#1", 2, 0 } };
+  });
   cache.recordRead(timers.now());
   CHECK(cache.makeFeed({ .mayWait = false }).suspects.size() == 1);
   CHECK(cache.makeFeed({}).suspects.size() == 1);
--- a/libs/http/include/http/ExchangeResult.h
+++ b/libs/http/include/http/ExchangeResult.h
@@ -11,7 +11,8 @@
   std::error_code error;   ///< an ExchangeError; clear if `response` is complete
   bool mayHaveRun = false; ///< the first byte of the request may have been sent
   Response response;
-  int discardedResponses = 0; ///< complete ones that belong to no request of this exchange
+  int discardedResponses =
+    0; ///< complete ones that belong to no request of this exchange
 };
 
 } // namespace masticwall::http
--- a/tests/harness/GatewaySystem.h
+++ b/tests/harness/GatewaySystem.h
@@ -4,6 +4,7 @@
 #include "LedgerFile.h"
 #include "TestCaller.h"
 #include <QTemporaryDir>
+#include <core/Bytes.h>
 #include <memory>
 #include <vector>
 
@@ -109,7 +110,7 @@
 
   int mNet;
   bool mWritesThroughOutages = false;
-  qint64 mMaxBodyBytes = 1024 * 1024;
+  qint64 mMaxBodyBytes = kMiB;
   int mMaxFds = 4100;
   int mMemoryMb = 260;
   QTemporaryDir mDirectory;
--- a/tests/integration/ResourcesTest.cpp
+++ b/tests/integration/ResourcesTest.cpp
@@ -14,10 +14,10 @@
 namespace {
 
 /** The users' bound on a gateway's memory while its upstreams send without end. */
-constexpr qint64 kMaxPeakKb = 64 * 1024;
+constexpr qint64 kMaxPeakKb = 64 * kMiB / kKiB;
 
 /** As the users configure it. */
-constexpr qint64 kMaxBodyBytes = 64 * 1024 * 1024;
+constexpr qint64 kMaxBodyBytes = 64 * kMiB;
 
 int
 statusOf(const std::optional<http::Response>& aResponse)
--- a/tests/soak/SoakMain.cpp
+++ b/tests/soak/SoakMain.cpp
@@ -22,7 +22,7 @@
 play(const SoakPlan& aPlan, bool aIsQuiet)
 {
   SoakRun run(aPlan);
-  const auto broken = run.run([&](Duration aElapsed) {
+  auto broken = run.run([&](Duration aElapsed) {
     if (!aIsQuiet) {
       std::printf("seed=%llu at_s=%lld\n",
                   static_cast<unsigned long long>(aPlan.seed),
--- a/tests/standins/Upstream.cpp
+++ b/tests/standins/Upstream.cpp
@@ -58,7 +58,7 @@
   }
   if (path == QLatin1String("/health")) {
     mLedger.write("probe");
-    answerHealth(std::move(aDone));
+    answerHealth(aDone);
     return;
   }
   if (mIsLeaving) {
@@ -86,7 +86,7 @@
 }
 
 void
-Upstream::answerHealth(Done aDone)
+Upstream::answerHealth(const Done& aDone)
 {
   http::Response response{ mHealthStatus, {}, "health\n", true };
   if (mIsHealthNotRun) {
--- a/tests/standins/Upstream.h
+++ b/tests/standins/Upstream.h
@@ -46,7 +46,7 @@
 
   void change(const http::Request& aRequest);
   static Done echoingRequestId(const http::Request& aRequest, Done aDone);
-  void answerHealth(Done aDone);
+  void answerHealth(const Done& aDone);
   void runNext();
   void run(const Waiting& aWaiting);
   Duration serviceTime(const http::Request& aRequest);
--- a/tests/standins/UpstreamConnection.cpp
+++ b/tests/standins/UpstreamConnection.cpp
@@ -1,4 +1,5 @@
 #include "UpstreamConnection.h"
+#include <core/Bytes.h>
 #include <http/Serializer.h>
 
 namespace masticwall::standin {
@@ -6,7 +7,7 @@
 namespace {
 
 /** Written at a time by a response without end. */
-constexpr qint64 kEndlessBytes = 64 * 1024;
+constexpr qint64 kEndlessBytes = 64 * kKiB;
 
 } // namespace
 
