--- a/libs/decide/include/decide/MemberSweep.h
+++ b/libs/decide/include/decide/MemberSweep.h
@@ -24,7 +24,7 @@
   /** The time between two requests, with `aMembers` VMs to ask. */
   static Duration periodFor(std::size_t aMembers);
 
-  /** The next VM to ask of `aMembers`, which must not be those that this process runs on;
+  /** The next VM to ask of `aMembers`, without the one that this process runs on;
    * none if there are no VMs. */
   std::optional<Vm> next(const VmList& aMembers);
 
