Read the request limits that upstreams state, and log when they begin, change or end

Change: Server-Limit is parsed (a plain decimal number; other text is logged and ignored) and kept for each instance (RequestLimits), out of order as responses come. No decision uses it yet.

--- a/libs/decide/include/decide/UpstreamPool.h
+++ b/libs/decide/include/decide/UpstreamPool.h
@@ -11,6 +11,7 @@
 #include <decide/LeavingInstances.h>
 #include <decide/LoadBalancingPolicy.h>
 #include <decide/LoadQueryScope.h>
+#include <decide/RequestLimits.h>
 #include <decide/ServiceAvailability.h>
 #include <decide/SlotShare.h>
 #include <limits>
@@ -177,6 +178,18 @@
     return until;
   }
 
+  /**
+   * Applies the request limit, or its absence, that a response of this instance states.
+   * `aSentAt` is when the response's request was sent.
+   */
+  LimitChange recordLimit(const UpstreamAddress& aUpstream,
+                          std::optional<double> aPerSecond,
+                          Instant aSentAt,
+                          Instant aNow);
+
+  /** Whether this instance is listed and has a request limit. */
+  bool isLimited(const UpstreamAddress& aUpstream) const;
+
   /** Whether this instance is listed and takes requests. */
   bool acceptsRequests(const UpstreamAddress& aUpstream, Instant aNow) const;
 
@@ -281,6 +294,7 @@
   std::vector<std::unique_ptr<UpstreamState>> mStates;
   LeavingInstances mLeavingInstances;
   HoldOffs mHoldOffs;
+  RequestLimits mRequestLimits;
   Duration mMedianLatency{ 0 }; ///< of the upstreams' mean latencies; 0: too few samples
   double mMeanProcessingTimePercent =
     100.0; ///< moving average of LoadReport::processingTimePercent
--- a/libs/decide/include/decide/UpstreamState.h
+++ b/libs/decide/include/decide/UpstreamState.h
@@ -2,6 +2,7 @@
 
 #include <decide/LoadReport.h>
 #include <decide/UpstreamAddress.h>
+#include <optional>
 
 namespace masticwall {
 
@@ -22,6 +23,8 @@
   Instant slowStartAt;    ///< when it was first listed, or its last hold-off ended
   Instant heldOffUntil;   ///< as it asked for with a refusal; see HoldOffs
   bool leaving = false;
+  /** Requests a second that it takes from all VMs together, as it stated; empty: any. */
+  std::optional<double> requestLimit;
 
   /** False for an upstream that leaves or is held off: it gets no calls, trial calls or
    * load queries, even if no other is eligible. */
--- a/libs/decide/src/UpstreamPool.cpp
+++ b/libs/decide/src/UpstreamPool.cpp
@@ -65,6 +65,7 @@
   const bool isFirstList = mStates.empty();
   mLeavingInstances.onListed(aAddresses, aNow);
   mHoldOffs.removeEnded(aNow);
+  mRequestLimits.onListed(aAddresses, aNow);
   std::vector<std::unique_ptr<UpstreamState>> states;
   for (const auto& it : aAddresses) {
     const auto known =
@@ -83,6 +84,7 @@
     state->slots = std::max(1, it.slots > 0 ? it.slots : aSlots);
     state->leaving = mLeavingInstances.contains(it);
     state->heldOffUntil = std::max(state->heldOffUntil, mHoldOffs.until(it));
+    state->requestLimit = mRequestLimits.find(it);
     states.push_back(std::move(state));
   }
   mStates = std::move(states);
@@ -162,6 +164,26 @@
   return isNew;
 }
 
+LimitChange
+UpstreamPool::recordLimit(const UpstreamAddress& aUpstream,
+                          std::optional<double> aPerSecond,
+                          Instant aSentAt,
+                          Instant aNow)
+{
+  const auto change = mRequestLimits.record(aUpstream, aPerSecond, aSentAt, aNow);
+  if (auto* const state = findInstance(aUpstream)) {
+    state->requestLimit = mRequestLimits.find(aUpstream);
+  }
+  return change;
+}
+
+bool
+UpstreamPool::isLimited(const UpstreamAddress& aUpstream) const
+{
+  const auto* const state = findInstance(aUpstream);
+  return state != nullptr && state->requestLimit.has_value();
+}
+
 bool
 UpstreamPool::acceptsRequests(const UpstreamAddress& aUpstream, Instant aNow) const
 {
--- a/libs/entry/src/EntryWorker.h
+++ b/libs/entry/src/EntryWorker.h
@@ -81,7 +81,8 @@
   void queryLoad(const Call& aCall, const UpstreamAddress& aUpstream, std::string aPath);
   void onLoadReply(const LoadQueryId& aQuery,
                    const UpstreamAddress& aUpstream,
-                   const http::ExchangeResult& aResult);
+                   const http::ExchangeResult& aResult,
+                   Instant aSentAt);
   void finishLoadQueries(std::uint64_t aCall);
 
   // Sending
@@ -111,7 +112,12 @@
   // Reports of upstreams about themselves
   void applyReport(const UpstreamAddress& aUpstream,
                    const UpstreamReport& aReport,
-                   ReportSource aSource);
+                   ReportSource aSource,
+                   Instant aSentAt);
+  void recordLimit(const UpstreamAddress& aUpstream,
+                   const UpstreamReport& aReport,
+                   ReportSource aSource,
+                   Instant aSentAt);
   void markUpstreamLeaving(const UpstreamAddress& aUpstream, ReportSource aSource);
   void holdOffUpstream(const UpstreamAddress& aUpstream,
                        Duration aDuration,
--- a/libs/entry/src/EntryWorkerLoadQueries.cpp
+++ b/libs/entry/src/EntryWorkerLoadQueries.cpp
@@ -80,6 +80,9 @@
                        const UpstreamAddress& aUpstream,
                        std::string aPath)
 {
+  if (mTables.upstreams.isLimited(aUpstream)) {
+    mTables.metrics.count(Counter::LimitedRequests, "load-query");
+  }
   const auto query = currentQuery(aCall);
   http::Exchange exchange;
   exchange.host = QHostAddress(QString::fromStdString(aUpstream.host));
@@ -93,8 +96,9 @@
   exchange.canStillSend = [this, aUpstream] {
     return mTables.upstreams.acceptsRequests(aUpstream, mTimers.now());
   };
-  exchange.done = [this, query, aUpstream](const http::ExchangeResult& aResult) {
-    onLoadReply(query, aUpstream, aResult);
+  exchange.done = [this, query, aUpstream, sentAt = mTimers.now()](
+                    const http::ExchangeResult& aResult) {
+    onLoadReply(query, aUpstream, aResult, sentAt);
   };
   mUpstreamConnections.start(std::move(exchange));
 }
@@ -102,7 +106,8 @@
 void
 EntryWorker::onLoadReply(const LoadQueryId& aQuery,
                          const UpstreamAddress& aUpstream,
-                         const http::ExchangeResult& aResult)
+                         const http::ExchangeResult& aResult,
+                         Instant aSentAt)
 {
   const auto now = mTimers.now();
   mTables.metrics.count(Counter::LoadQueries, aResult.error ? "failed" : "answered");
@@ -113,7 +118,8 @@
   } else if (!aResult.error) {
     applyReport(aUpstream,
                 mContext.dialect.readUpstreamReport(aResult.response, now),
-                ReportSource::LoadQuery);
+                ReportSource::LoadQuery,
+                aSentAt);
   }
   auto* const call = findCall(aQuery.call);
   if (call == nullptr || call->stage != CallStage::QueryingLoads ||
--- a/libs/entry/src/EntryWorkerSending.cpp
+++ b/libs/entry/src/EntryWorkerSending.cpp
@@ -63,6 +63,9 @@
     return;
   }
   const auto& choice = chosen.value();
+  if (choice.isLimited) {
+    mTables.metrics.count(Counter::LimitedRequests, "call");
+  }
   aCall.upstream = choice.address;
   aCall.history.push_back({ choice.address.name, choice.load, choice.inFlight, now, {} });
   aCall.stage = CallStage::Sending;
@@ -144,7 +147,7 @@
 EntryWorker::onUpstreamResponse(Call& aCall, const http::Response& aResponse)
 {
   const auto signs = mContext.dialect.readUpstreamReport(aResponse, mTimers.now());
-  applyReport(*aCall.upstream, signs, ReportSource::Response);
+  applyReport(*aCall.upstream, signs, ReportSource::Response, aCall.sentAt);
   if (signs.isNotRun) {
     onUpstreamShed(aCall);
     return;
--- a/libs/entry/src/EntryWorkerSignals.cpp
+++ b/libs/entry/src/EntryWorkerSignals.cpp
@@ -14,7 +14,8 @@
 void
 EntryWorker::applyReport(const UpstreamAddress& aUpstream,
                          const UpstreamReport& aReport,
-                         ReportSource aSource)
+                         ReportSource aSource,
+                         Instant aSentAt)
 {
   const bool isFromOther = !aReport.instance.empty() &&
                            aReport.instance != aUpstream.name &&
@@ -35,6 +36,7 @@
   if (aReport.isLeaving && isIdentified) {
     markUpstreamLeaving(aUpstream, aSource);
   }
+  recordLimit(aUpstream, aReport, aSource, aSentAt);
   if (aReport.holdOff.has_value()) {
     holdOffUpstream(aUpstream, *aReport.holdOff, aSource);
   }
@@ -45,6 +47,42 @@
   }
 }
 
+void
+EntryWorker::recordLimit(const UpstreamAddress& aUpstream,
+                         const UpstreamReport& aReport,
+                         ReportSource aSource,
+                         Instant aSentAt)
+{
+  if (!aReport.malformedRequestLimit.empty()) {
+    mTables.metrics.count(Counter::UpstreamSignals, "bad-server-limit");
+    logEvent(
+      LogEvent::ServerLimitBad,
+      { { "upstream", aUpstream.name }, { "text", aReport.malformedRequestLimit } });
+    return;
+  }
+  const auto& limit = aReport.requestLimit;
+  // A load query has no id, so that its response may be a late copy of an earlier one.
+  if (!limit.has_value() && aSource == ReportSource::LoadQuery) {
+    return;
+  }
+  const auto change =
+    mTables.upstreams.recordLimit(aUpstream, limit, aSentAt, mTimers.now());
+  if (change == LimitChange::None) {
+    return;
+  }
+  if (change != LimitChange::Changed) {
+    mTables.metrics.count(Counter::UpstreamSignals,
+                          change == LimitChange::Begun ? "limited" : "unlimited");
+  }
+  logEvent(LogEvent::UpstreamLimit,
+           { { "upstream", aUpstream.name },
+             { "instance", aUpstream.instance },
+             { "service", aUpstream.service },
+             { "change", nameOf(change) },
+             { "sign", nameOf(aSource) },
+             { "per_second", std::to_string(limit.value_or(0.0)) } });
+}
+
 void
 EntryWorker::markUpstreamLeaving(const UpstreamAddress& aUpstream, ReportSource aSource)
 {
--- a/libs/entry/src/StateDump.cpp
+++ b/libs/entry/src/StateDump.cpp
@@ -26,6 +26,8 @@
       { QStringLiteral("reportedQueued"), it.load.queued },
       { QStringLiteral("failuresInARow"), it.failuresInARow },
       { QStringLiteral("leaving"), it.leaving },
+      { QStringLiteral("requestLimit"),
+        it.requestLimit.has_value() ? QJsonValue(*it.requestLimit) : QJsonValue() },
       { QStringLiteral("heldOffMs"),
         static_cast<qint64>(
           toMilliseconds(std::max(Duration{ 0 }, it.heldOffUntil - now))) },
--- a/libs/messages/include/messages/UpstreamReport.h
+++ b/libs/messages/include/messages/UpstreamReport.h
@@ -22,6 +22,9 @@
   std::optional<Duration> holdOff;
   std::string malformedHoldOff;   ///< what it says instead of a time; cut if very long
   std::optional<LoadReport> load; ///< empty if not reported
+  /** The requests a second that the upstream takes from all VMs together. */
+  std::optional<double> requestLimit;
+  std::string malformedRequestLimit; ///< what it says instead; cut if very long
 };
 
 /**
--- a/libs/tables/include/tables/UpstreamChoice.h
+++ b/libs/tables/include/tables/UpstreamChoice.h
@@ -9,8 +9,9 @@
 struct UpstreamChoice
 {
   UpstreamAddress address;
-  LoadReport load;  ///< last report of the upstream
-  int inFlight = 0; ///< calls from this process, including the new one
+  LoadReport load;        ///< last report of the upstream
+  int inFlight = 0;       ///< calls from this process, including the new one
+  bool isLimited = false; ///< it has stated a request limit
 };
 
 } // namespace masticwall
--- a/libs/tables/include/tables/UpstreamTable.h
+++ b/libs/tables/include/tables/UpstreamTable.h
@@ -66,6 +66,16 @@
    * again. */
   Instant holdOff(const UpstreamAddress& aUpstream, Duration aDuration, Instant aNow);
 
+  /** Applies the request limit that a response states; see UpstreamPool::recordLimit().
+   */
+  LimitChange recordLimit(const UpstreamAddress& aUpstream,
+                          std::optional<double> aPerSecond,
+                          Instant aSentAt,
+                          Instant aNow);
+
+  /** Whether the upstream's instance is listed and has a request limit. */
+  bool isLimited(const UpstreamAddress& aUpstream) const;
+
   /** Whether the upstream's instance is listed, does not leave and is not held off. */
   bool acceptsRequests(const UpstreamAddress& aUpstream, Instant aNow) const;
 
--- a/libs/tables/src/UpstreamTable.cpp
+++ b/libs/tables/src/UpstreamTable.cpp
@@ -42,7 +42,9 @@
     return pool.hasCandidate(mMaxInFlight, aQuery.excluded, aNow) ? CallError::Overload
                                                                   : CallError::NoUpstream;
   }
-  return UpstreamChoice{ chosen->address, chosen->load, chosen->inFlight };
+  return UpstreamChoice{
+    chosen->address, chosen->load, chosen->inFlight, chosen->requestLimit.has_value()
+  };
 }
 
 const UpstreamState*
@@ -117,6 +119,24 @@
   return mPools[aUpstream.service].holdOff(aUpstream, aDuration, aNow, mRandom);
 }
 
+LimitChange
+UpstreamTable::recordLimit(const UpstreamAddress& aUpstream,
+                           std::optional<double> aPerSecond,
+                           Instant aSentAt,
+                           Instant aNow)
+{
+  std::scoped_lock lock(mMutex);
+  return mPools[aUpstream.service].recordLimit(aUpstream, aPerSecond, aSentAt, aNow);
+}
+
+bool
+UpstreamTable::isLimited(const UpstreamAddress& aUpstream) const
+{
+  std::scoped_lock lock(mMutex);
+  const auto it = mPools.find(aUpstream.service);
+  return it != mPools.end() && it->second.isLimited(aUpstream);
+}
+
 bool
 UpstreamTable::acceptsRequests(const UpstreamAddress& aUpstream, Instant aNow) const
 {
--- a/libs/telemetry/include/telemetry/Counter.h
+++ b/libs/telemetry/include/telemetry/Counter.h
@@ -14,20 +14,23 @@
   FeedRequests, ///< requests to a peer for its feed (its VM list and preset)
   Retries,      ///< retries of calls: "sent", or "over-budget" if denied by the budget
   /** What upstreams report about themselves: "leaving", "held-off" (they want no requests
-   * for a time), or "bad-retry-after". */
+   * for a time), "limited" or "unlimited" (a request limit begins or ends),
+   * "bad-retry-after" or "bad-server-limit". */
   UpstreamSignals,
-  LoadQueries, ///< "answered" or "failed" queries; "over-budget": none sent
+  LoadQueries,     ///< "answered" or "failed" queries; "over-budget": none sent
+  LimitedRequests, ///< to upstreams with a request limit: "call" or "load-query"
 };
 
 template<>
 struct EnumTable<Counter>
 {
-  static constexpr std::array<EnumName<Counter>, 5> kEntries{ {
+  static constexpr std::array<EnumName<Counter>, 6> kEntries{ {
     { Counter::SourceReads, "masticwall_source_readings_total" },
     { Counter::FeedRequests, "masticwall_feeds_total" },
     { Counter::Retries, "masticwall_retries_total" },
     { Counter::UpstreamSignals, "masticwall_upstream_signals_total" },
     { Counter::LoadQueries, "masticwall_load_queries_total" },
+    { Counter::LimitedRequests, "masticwall_limited_requests_total" },
   } };
 };
 
--- a/libs/telemetry/include/telemetry/LogEvent.h
+++ b/libs/telemetry/include/telemetry/LogEvent.h
@@ -34,6 +34,8 @@
   UpstreamLeaving,   ///< an upstream's response says that it is shutting down
   UpstreamHeldOff,   ///< an upstream wants no requests for a time
   RetryAfterBad,     ///< an upstream's Retry-After is no time; it is ignored
+  UpstreamLimit,     ///< an upstream's request limit began, changed or ended
+  ServerLimitBad,    ///< an upstream's request limit is no number; it is ignored
   SuspectStopped,    ///< not retried: the request is blocked, as it crashed upstreams
   SuspectTried,   ///< sent once although it is blocked, to see whether it still crashes
   SuspectCleared, ///< a blocked request has run to its end and is let through again
@@ -60,7 +62,7 @@
 template<>
 struct EnumTable<LogEvent>
 {
-  static constexpr std::array<EnumName<LogEvent>, 47> kEntries{ {
+  static constexpr std::array<EnumName<LogEvent>, 49> kEntries{ {
     { LogEvent::Started, "started" },
     { LogEvent::Stopped, "stopped" },
     { LogEvent::StopRequested, "stop-requested" },
@@ -87,6 +89,8 @@
     { LogEvent::UpstreamLeaving, "upstream-leaving" },
     { LogEvent::UpstreamHeldOff, "upstream-held-off" },
     { LogEvent::RetryAfterBad, "retry-after-bad" },
+    { LogEvent::UpstreamLimit, "upstream-limit" },
+    { LogEvent::ServerLimitBad, "server-limit-bad" },
     { LogEvent::SuspectStopped, "suspect-stopped" },
     { LogEvent::SuspectTried, "suspect-tried" },
     { LogEvent::SuspectCleared, "suspect-cleared" },
--- a/tests/standins/Upstream.cpp
+++ b/tests/standins/Upstream.cpp
@@ -138,6 +138,8 @@
       mCopiesHealth = value.toInt() != 0;
     } else if (name == QLatin1String("hide_load")) {
       mHidesLoad = value.toInt() != 0;
+    } else if (name == QLatin1String("server_limit")) {
+      mServerLimit = value.toStdString();
     } else if (name == QLatin1String("retry_after")) {
       mRetryAfter = value.toStdString();
     } else if (name == QLatin1String("error_status")) {
@@ -263,6 +265,9 @@
   if (mIsLeaving && !mHidesLeaving) {
     aResponse.headers.push_back({ kServerLeaving, "1" });
   }
+  if (!mServerLimit.empty()) {
+    aResponse.headers.push_back({ "Server-Limit", mServerLimit });
+  }
   if (mHidesLoad) {
     return;
   }
--- a/tests/standins/Upstream.h
+++ b/tests/standins/Upstream.h
@@ -72,6 +72,7 @@
   bool mIsShedding = false;   ///< rejects all requests as if it were full
   bool mIsPlatform = false;   ///< speaks the platform's headers
   bool mHidesLeaving = false; ///< neither its health nor its answers say that it leaves
+  std::string mServerLimit;   ///< said with each answer; empty: nothing
   std::string mRetryAfter;    ///< said with each rejection; empty: nothing
   bool mHidesLoad = false;    ///< the platform's answers don't tell its load
   int mErrorStatus = 0;       ///< of requests that have run; 0: success
