--- /dev/null
+++ b/tests/integration/LimitTest.cpp
@@ -0,0 +1,225 @@
+#include "GatewaySystem.h"
+#include "Wait.h"
+#include <QUrl>
+#include <catch2/catch.hpp>
+#include <csignal>
+#include <deque>
+
+using namespace masticwall;
+using namespace masticwall::test;
+
+// Upstreams that state with their responses how many requests a second they take from all
+// VMs together.
+
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+constexpr double kLimit = 5.0;
+constexpr auto kStabilityWindow = std::chrono::seconds(3);
+constexpr auto kWindow = std::chrono::seconds(4);
+
+/** The requests that an upstream may get within kWindow. */
+constexpr int kMaxInWindow = 35;
+
+int
+statusOf(const std::optional<http::Response>& aResponse)
+{
+  return aResponse.has_value() ? aResponse->status : 0;
+}
+
+/** Samples the requests that have reached an upstream, and keeps the highest number
+ * within kWindow. */
+class WindowedRequests
+{
+public:
+  WindowedRequests(GatewaySystem& aSystem, int aUpstream)
+    : mSystem(aSystem)
+    , mUpstream(aUpstream)
+  {
+  }
+
+  void sample()
+  {
+    const auto now = Clock::now();
+    const auto requests = mSystem.ledgerOf(mUpstream).requests();
+    mSamples.push_back({ now, requests });
+    while (mSamples.front().at < now - kWindow) {
+      mSamples.pop_front();
+    }
+    mMax = std::max(mMax, requests - mSamples.front().requests);
+  }
+
+  int max() const { return mMax; }
+
+private:
+  struct Sample
+  {
+    Clock::time_point at;
+    int requests = 0;
+  };
+
+  GatewaySystem& mSystem;
+  int mUpstream;
+  std::deque<Sample> mSamples;
+  int mMax = 0;
+};
+
+struct LookupCounts
+{
+  int served = 0;
+  int refused = 0;
+  int other = 0;
+  std::chrono::milliseconds slowestRefusal{ 0 };
+};
+
+/** Sends lookups to the gateways in turn for `aTime`, about 100 a second. */
+LookupCounts
+sendLookups(
+  GatewaySystem& aSystem,
+  const std::vector<int>& aGateways,
+  std::chrono::milliseconds aTime,
+  const std::function<void()>& aAfterEach = [] {})
+{
+  LookupCounts counts;
+  const auto end = Clock::now() + aTime;
+  for (std::size_t i = 0; Clock::now() < end; ++i) {
+    const auto sentAt = Clock::now();
+    const auto answer =
+      aSystem.call(aGateways[i % aGateways.size()], "GET", "/read/1", "limited");
+    const auto took =
+      std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - sentAt);
+    if (statusOf(answer) == 200) {
+      ++counts.served;
+    } else if (statusOf(answer) == 503 &&
+               !http::findHeader(answer->headers, "Retry-After").empty()) {
+      ++counts.refused;
+      counts.slowestRefusal = std::max(counts.slowestRefusal, took);
+    } else {
+      ++counts.other;
+    }
+    aAfterEach();
+    runEventsFor(5);
+  }
+  return counts;
+}
+
+void
+setLimit(GatewaySystem& aSystem, int aUpstream, const std::string& aText)
+{
+  aSystem.setUpstream(aUpstream, "server_limit=" + aText);
+}
+
+} // namespace
+
+TEST_CASE("an upstream gets no more requests than it takes from all VMs together")
+{
+  GatewaySystem system(3, 4);
+  REQUIRE(system.start());
+  setLimit(system, 0, "5");
+  sendLookups(system, { 0, 1, 2 }, kStabilityWindow);
+  WindowedRequests requests(system, 0);
+  const auto sample = [&] { requests.sample(); };
+  auto counts = sendLookups(system, { 0, 1, 2 }, std::chrono::seconds(5), sample);
+  CHECK(counts.refused + counts.other == 0); // the others have room
+  system.writeConfig(5);
+  system.gateway(0).signal(SIGHUP);
+  counts = sendLookups(system, { 0, 1, 2 }, std::chrono::seconds(2), sample);
+  CHECK(counts.refused + counts.other == 0);
+  // A lull leaves no credit behind that would let each VM send one more at once.
+  runEventsFor(3000);
+  counts = sendLookups(system, { 0, 1, 2 }, std::chrono::seconds(5), sample);
+  CHECK(counts.refused + counts.other == 0);
+  CHECK(requests.max() <= kMaxInWindow);
+}
+
+TEST_CASE("calls beyond the limits of all upstreams are refused at once")
+{
+  GatewaySystem system(3, 2);
+  REQUIRE(system.start());
+  for (int i = 0; i < 2; ++i) {
+    setLimit(system, i, "5");
+  }
+  sendLookups(system, { 0, 1, 2 }, kStabilityWindow);
+  std::deque<WindowedRequests> requests;
+  requests.emplace_back(system, 0);
+  requests.emplace_back(system, 1);
+  constexpr int kSeconds = 8;
+  const auto counts =
+    sendLookups(system, { 0, 1, 2 }, std::chrono::seconds(kSeconds), [&] {
+      for (auto& it : requests) {
+        it.sample();
+      }
+    });
+  CHECK(requests[0].max() <= kMaxInWindow);
+  CHECK(requests[1].max() <= kMaxInWindow);
+  CHECK(counts.served >= 0.9 * 2 * kLimit * kSeconds);
+  CHECK(counts.refused > 0);
+  CHECK(counts.other == 0);
+  CHECK(counts.slowestRefusal < std::chrono::milliseconds(500));
+  REQUIRE(waitUntil([&] {
+    return system.explain("limited").contains(QStringLiteral("reason=limited"));
+  }));
+}
+
+TEST_CASE("the limit of an upstream holds while a VM is killed and starts again")
+{
+  GatewaySystem system(3, 2);
+  REQUIRE(system.start());
+  for (int i = 0; i < 2; ++i) {
+    setLimit(system, i, "5");
+  }
+  sendLookups(system, { 0, 1, 2 }, kStabilityWindow);
+  WindowedRequests requests(system, 0);
+  const auto sample = [&] { requests.sample(); };
+  system.gateway(1).kill();
+  const auto counts = sendLookups(system, { 0, 2 }, std::chrono::seconds(5), sample);
+  CHECK(counts.served >= 0.7 * 2 * kLimit * 5);
+  system.startGateway(1);
+  sendLookups(system, { 0, 2 }, std::chrono::seconds(5), sample);
+  CHECK(requests.max() <= kMaxInWindow);
+}
+
+TEST_CASE("an upstream whose limit has ended gets requests as before")
+{
+  GatewaySystem system(2, 1);
+  REQUIRE(system.start());
+  setLimit(system, 0, "5");
+  sendLookups(system, { 0, 1 }, std::chrono::seconds(2));
+  const auto limited = sendLookups(system, { 0, 1 }, std::chrono::seconds(2));
+  CHECK(limited.refused > 0);
+  setLimit(system, 0, "");
+  sendLookups(system, { 0, 1 }, std::chrono::seconds(2));
+  const auto counts = sendLookups(system, { 0, 1 }, std::chrono::seconds(2));
+  CHECK(counts.refused + counts.other == 0);
+}
+
+TEST_CASE("a new instance on the address of a limited one starts without its limit")
+{
+  constexpr qint64 kLaterStartMs = 1'700'000'001'000;
+  GatewaySystem system(1, 1);
+  REQUIRE(system.start());
+  setLimit(system, 0, "0");
+  CHECK(waitUntil([&] {
+    return sendLookups(system, { 0 }, std::chrono::milliseconds(200)).served == 0;
+  }));
+  setLimit(system, 0, "");
+  system.listUpstream(0, "ready", kLaterStartMs);
+  CHECK(waitUntil([&] {
+    const auto counts = sendLookups(system, { 0 }, std::chrono::milliseconds(200));
+    return counts.refused + counts.other == 0;
+  }));
+}
+
+TEST_CASE("a limit that is no number is logged and ignored")
+{
+  GatewaySystem system(1, 1);
+  REQUIRE(system.start());
+  for (const auto* const it : { "few", "-5", "inf", "1e400" }) {
+    CAPTURE(it);
+    setLimit(system, 0, QUrl::toPercentEncoding(QString::fromLatin1(it)).toStdString());
+    const auto counts = sendLookups(system, { 0 }, std::chrono::milliseconds(500));
+    CHECK(counts.refused + counts.other == 0);
+  }
+  CHECK(system.metrics(0).find(R"(result="bad-server-limit")") != std::string::npos);
+}
