--- a/libs/core/include/core/CallError.h
+++ b/libs/core/include/core/CallError.h
@@ -23,6 +23,7 @@
   DeadlinePassed,   ///< sent, but no complete response by the deadline
   NoUpstream,       ///< no upstream is available, or none could be connected to
   HeldOff,          ///< every upstream leaves or wants no requests for a time
+  Limited,          ///< no upstream takes more requests for now: request limits
   ClaimUnavailable, ///< the shared log could not be read or written in time
   Leaving,          ///< this process is shutting down; currently unused
   Suspect,          ///< blocked: upstreams crashed while they ran this request
@@ -37,7 +38,7 @@
 struct EnumTable<CallError>
 {
   static constexpr const char* kCategory = "call";
-  static constexpr std::array<EnumName<CallError>, 18> kEntries{ {
+  static constexpr std::array<EnumName<CallError>, 19> kEntries{ {
     { CallError::BadRequest, "bad-request" },
     { CallError::NoRoute, "no-route" },
     { CallError::MissingKey, "missing-idempotency-key" },
@@ -48,6 +49,7 @@
     { CallError::DeadlinePassed, "deadline-passed" },
     { CallError::NoUpstream, "no-upstream" },
     { CallError::HeldOff, "held-off" },
+    { CallError::Limited, "limited" },
     { CallError::ClaimUnavailable, "claim-unavailable" },
     { CallError::Leaving, "leaving" },
     { CallError::Suspect, "suspect-request" },
--- a/libs/decide/include/decide/AdmissionQueue.h
+++ b/libs/decide/include/decide/AdmissionQueue.h
@@ -38,8 +38,9 @@
   /** A started call ended. Starts waiting calls up to the limit and expires old ones. */
   AdmissionRelease release(Instant aNow);
 
-  /** Removes and returns all waiting calls, the most urgent first. */
-  std::vector<AdmissionRequest> removeWaiting();
+  /** Removes and returns the waiting calls of `aRank` and of less urgent ones, the most
+   * urgent first. */
+  std::vector<AdmissionRequest> removeWaiting(Rank aRank);
 
   /**
    * Removes a waiting call, e.g. when its caller disconnects; false if it is not waiting.
--- a/libs/decide/include/decide/RequestLimits.h
+++ b/libs/decide/include/decide/RequestLimits.h
@@ -2,6 +2,7 @@
 
 #include <core/Time.h>
 #include <decide/LimitChange.h>
+#include <decide/RequestLimit.h>
 #include <decide/UpstreamAddress.h>
 #include <map>
 #include <optional>
@@ -31,8 +32,10 @@
                      Instant aSentAt,
                      Instant aNow);
 
-  /** The instance's limit, in requests a second; empty if it has none. */
-  std::optional<double> find(const UpstreamAddress& aUpstream) const;
+  bool isEmpty() const { return mEntries.empty(); }
+
+  /** The instance's limit; empty if it has none. */
+  std::optional<RequestLimit> find(const UpstreamAddress& aUpstream) const;
 
   /** To be called with each new list of upstreams; forgets instances that have not been
    * listed for a long time. */
@@ -46,15 +49,15 @@
     auto operator<=>(const Key&) const = default;
   };
 
-  struct Limit
+  struct Entry
   {
-    double perSecond = 0.0;
+    RequestLimit limit;
     double reportedPerSecond = 0.0; ///< the last one that record() reported as a change
     Instant changedAt;
     Instant lastListedAt;
   };
 
-  std::map<Key, Limit> mLimits;
+  std::map<Key, Entry> mEntries;
 };
 
 } // namespace masticwall
--- a/libs/decide/include/decide/ServiceAvailability.h
+++ b/libs/decide/include/decide/ServiceAvailability.h
@@ -12,9 +12,10 @@
 struct ServiceAvailability
 {
   bool isAvailable = false;
-  /** If not available: when the first held-off upstream takes requests again. Empty if
-   * all upstreams leave, or none is listed. */
+  /** If not available: when the first upstream may take requests again that is held off
+   * or has no permit left. Empty if all upstreams leave, or none is listed. */
   std::optional<Instant> nextAt;
+  bool isLimited = false; ///< if not available: an upstream takes requests by permit only
 };
 
 } // namespace masticwall
--- a/libs/decide/include/decide/UpstreamPool.h
+++ b/libs/decide/include/decide/UpstreamPool.h
@@ -11,6 +11,7 @@
 #include <decide/LeavingInstances.h>
 #include <decide/LoadBalancingPolicy.h>
 #include <decide/LoadQueryScope.h>
+#include <decide/PermitCandidate.h>
 #include <decide/RequestLimits.h>
 #include <decide/ServiceAvailability.h>
 #include <decide/SlotShare.h>
@@ -43,7 +44,8 @@
    * it needs a Locality; use chooseLowestLatency() for it. Not eligible are upstreams
    * that are leaving, held off, or named in `aExcluded` (as already tried for this call),
    * those with `aMaxInFlight` calls (fewer during slow start), and slow ones between
-   * trial calls. Upstreams in back-off are used only if no other is eligible.
+   * trial calls, and those with a request limit and no permit left. Upstreams in back-off
+   * are used only if no other is eligible.
    */
   template<RandomSource R>
   const UpstreamState* choose(LoadBalancingPolicy aPolicy,
@@ -58,8 +60,7 @@
       return nullptr;
     }
     auto* const chosen = select(aPolicy, candidates, aNow, aRandom);
-    ++chosen->inFlight;
-    scheduleNextTrial(*chosen, aNow);
+    startCall(*chosen, aNow);
     return chosen;
   }
 
@@ -77,16 +78,15 @@
   {
     UpstreamState* best = nullptr;
     auto bestScore = std::numeric_limits<double>::max();
-    for (const auto& it :
-         scoreCandidates(aLocality, aMaxInFlight, aExcluded, aNow, aRandom)) {
+    const auto candidates = findCandidates({}, aMaxInFlight, aExcluded, aNow);
+    for (const auto& it : scoreCandidates(candidates, aLocality, aNow, aRandom)) {
       if (it.score < bestScore && isWithin(it.estimate, aLimit)) {
         best = it.state;
         bestScore = it.score;
       }
     }
     if (best != nullptr) {
-      ++best->inFlight;
-      scheduleNextTrial(*best, aNow);
+      startCall(*best, aNow);
     }
     return best;
   }
@@ -101,7 +101,8 @@
 
   /**
    * Of the eligible upstreams with the lowest estimated latency, as many as `aScope`
-   * says, those whose load report is older than `aMaxReportAge`.
+   * says, those whose load report is older than `aMaxReportAge`. A load query counts as a
+   * request, so those with a request limit are left out.
    */
   template<RandomSource R>
   std::vector<UpstreamAddress> staleTopCandidates(
@@ -113,7 +114,8 @@
     Instant aNow,
     R& aRandom)
   {
-    auto ranked = scoreCandidates(aLocality, aMaxInFlight, aExcluded, aNow, aRandom);
+    auto ranked = scoreCandidates(
+      findCandidates({}, aMaxInFlight, aExcluded, aNow), aLocality, aNow, aRandom);
     std::sort(ranked.begin(),
               ranked.end(),
               [](const ScoredUpstream& aLeft, const ScoredUpstream& aRight) {
@@ -128,13 +130,62 @@
       }
       ++n;
       slots += it.state->slots;
-      if (aNow - it.state->load.receivedAt > aMaxReportAge) {
+      const bool isLimited = it.state->requestLimit.has_value();
+      if (!isLimited && aNow - it.state->load.receivedAt > aMaxReportAge) {
         stale.push_back(it.state->address);
       }
     }
     return stale;
   }
 
+  /**
+   * The upstream for which a permit should be requested before a call of `aRank` is sent:
+   * its estimated latency is the lowest, within `aLimit`, and it has a request limit and
+   * no permit left. Empty if the best one is eligible, or none of them may be asked for.
+   */
+  template<RandomSource R>
+  std::optional<PermitCandidate> permitCandidate(
+    const Locality& aLocality,
+    const LatencyLimit& aLimit,
+    Rank aRank,
+    int aMaxInFlight,
+    const std::vector<std::string>& aExcluded,
+    Instant aNow,
+    R& aRandom)
+  {
+    const auto limited = findPermitCandidates(aRank, aMaxInFlight, aExcluded, aNow);
+    if (limited.empty()) {
+      return std::nullopt;
+    }
+    auto bestScore = std::numeric_limits<double>::max();
+    bool hasAlternative = false;
+    const auto eligible = findCandidates({}, aMaxInFlight, aExcluded, aNow);
+    for (const auto& it : scoreCandidates(eligible, aLocality, aNow, aRandom)) {
+      if (isWithin(it.estimate, aLimit)) {
+        hasAlternative = hasAlternative || it.estimate.queueing <= 0.0;
+        bestScore = std::min(bestScore, it.score);
+      }
+    }
+    const UpstreamState* best = nullptr;
+    for (const auto& it : scoreCandidates(limited, aLocality, aNow, aRandom)) {
+      if (it.score < bestScore && isWithin(it.estimate, aLimit)) {
+        best = it.state;
+        bestScore = it.score;
+      }
+    }
+    if (best == nullptr) {
+      return std::nullopt;
+    }
+    return PermitCandidate{ best->address, *best->requestLimit, hasAlternative };
+  }
+
+  /** Adds the reply to a request for permits for this instance; see PermitStock::add().
+   */
+  void addPermits(const UpstreamAddress& aUpstream,
+                  const PermitGrant& aGrant,
+                  Rank aRank,
+                  Instant aNow);
+
   /**
    * Counts a failure of `aName`, which a load query could not reach, and starts a
    * back-off.
@@ -187,13 +238,13 @@
                           Instant aSentAt,
                           Instant aNow);
 
-  /** Whether this instance is listed and has a request limit. */
-  bool isLimited(const UpstreamAddress& aUpstream) const;
-
-  /** Whether this instance is listed and takes requests. */
-  bool acceptsRequests(const UpstreamAddress& aUpstream, Instant aNow) const;
+  /** Whether this instance is listed and takes a request, with a permit or without. */
+  bool acceptsRequest(const UpstreamAddress& aUpstream,
+                      bool aHasPermit,
+                      Instant aNow) const;
 
-  ServiceAvailability availability(Instant aNow) const;
+  /** Whether a call of `aRank` can be sent, at once or after a request for a permit. */
+  ServiceAvailability availability(Rank aRank, Instant aNow) const;
 
   /** The regions that have upstreams, after `aLocalRegion`, which always comes first. */
   std::vector<std::string> regions(std::string_view aLocalRegion) const;
@@ -219,13 +270,12 @@
     double score = 0.0; ///< the sum of the estimate's parts, with jitter; in seconds
   };
 
-  /** Scores the eligible upstreams of all regions. */
   template<RandomSource R>
-  std::vector<ScoredUpstream> scoreCandidates(const Locality& aLocality,
-                                              int aMaxInFlight,
-                                              const std::vector<std::string>& aExcluded,
-                                              Instant aNow,
-                                              R& aRandom)
+  std::vector<ScoredUpstream> scoreCandidates(
+    const std::vector<UpstreamState*>& aCandidates,
+    const Locality& aLocality,
+    Instant aNow,
+    R& aRandom)
   {
     const EstimatedLatency estimator{ aLocality,
                                       typicalProcessingTime(),
@@ -234,7 +284,7 @@
     // upstream.
     std::uniform_real_distribution<double> jitter(1.0, kMaxJitterFactor);
     std::vector<ScoredUpstream> scored;
-    for (auto* const it : findCandidates({}, aMaxInFlight, aExcluded, aNow)) {
+    for (auto* const it : aCandidates) {
       const auto estimate = estimator.estimate(*it, aNow);
       const auto sum = estimate.queueing + estimate.processing + estimate.distancePenalty;
       scored.push_back({ it, estimate, sum * jitter(aRandom) });
@@ -242,11 +292,17 @@
     return scored;
   }
 
-  static bool isWithin(const LatencyEstimate& aEstimate, const LatencyLimit& aLimit)
+  bool isWithin(const LatencyEstimate& aEstimate, const LatencyLimit& aLimit) const
   {
     const std::chrono::duration<double> queueing(aEstimate.queueing);
     const std::chrono::duration<double> total(aEstimate.queueing + aEstimate.processing);
-    return queueing <= aLimit.maxQueueing && total <= aLimit.maxTotal;
+    // An idle upstream is good enough, also for a target that none can meet.
+    const auto maxTotal =
+      mRequestLimits.isEmpty()
+        ? aLimit.maxTotal
+        : std::min(aLimit.maxTotal,
+                   std::max(aLimit.maxTotalIfLimited, typicalProcessingTime()));
+    return queueing <= aLimit.maxQueueing && total <= maxTotal;
   }
 
   template<RandomSource R>
@@ -276,6 +332,22 @@
                                              const std::vector<std::string>& aExcluded,
                                              Instant aNow);
 
+  /** The upstreams for which permits may be requested; otherwise eligible. */
+  std::vector<UpstreamState*> findPermitCandidates(
+    Rank aRank,
+    int aMaxInFlight,
+    const std::vector<std::string>& aExcluded,
+    Instant aNow);
+
+  /** Whether the upstream has room for a call that has not tried it. */
+  bool hasRoom(const UpstreamState& aState,
+               int aMaxInFlight,
+               const std::vector<std::string>& aExcluded,
+               Instant aNow) const;
+
+  /** Counts a call in flight, and takes a permit if one is needed. */
+  void startCall(UpstreamState& aState, Instant aNow);
+
   UpstreamState* find(std::string_view aName);
   UpstreamState* findInstance(const UpstreamAddress& aUpstream) const;
 
--- a/libs/decide/include/decide/UpstreamState.h
+++ b/libs/decide/include/decide/UpstreamState.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <decide/LoadReport.h>
+#include <decide/PermitStock.h>
+#include <decide/RequestLimit.h>
 #include <decide/UpstreamAddress.h>
 #include <optional>
 
@@ -23,12 +25,26 @@
   Instant slowStartAt;    ///< when it was first listed, or its last hold-off ended
   Instant heldOffUntil;   ///< as it asked for with a refusal; see HoldOffs
   bool leaving = false;
-  /** Requests a second that it takes from all VMs together, as it stated; empty: any. */
-  std::optional<double> requestLimit;
+  std::optional<RequestLimit> requestLimit; ///< empty: it takes any number
+  PermitStock permits; ///< of this process, for requests within `requestLimit`
 
   /** False for an upstream that leaves or is held off: it gets no calls, trial calls or
    * load queries, even if no other is eligible. */
-  bool acceptsRequests(Instant aNow) const { return !leaving && heldOffUntil <= aNow; }
+  bool isOpen(Instant aNow) const { return !leaving && heldOffUntil <= aNow; }
+
+  /** Whether a request may be sent now: the upstream is open, and takes any number of
+   * requests or a permit is left. */
+  bool acceptsRequests(Instant aNow) const
+  {
+    return isOpen(aNow) && (!requestLimit.has_value() || !permits.isEmpty(aNow));
+  }
+
+  /** Whether requests wait for a permit, which may be requested now. */
+  bool mayRequestPermit(Rank aRank, Instant aNow) const
+  {
+    return isOpen(aNow) && requestLimit.has_value() && permits.isEmpty(aNow) &&
+           permits.nextRequestAt(aRank) <= aNow;
+  }
 };
 
 } // namespace masticwall
--- a/libs/decide/src/AdmissionQueue.cpp
+++ b/libs/decide/src/AdmissionQueue.cpp
@@ -96,12 +96,12 @@
 }
 
 std::vector<AdmissionRequest>
-AdmissionQueue::removeWaiting()
+AdmissionQueue::removeWaiting(Rank aRank)
 {
   std::vector<AdmissionRequest> removed;
-  for (auto& queue : mWaiting) {
-    while (queue.size() > 0) {
-      removed.push_back(*queue.pop());
+  for (auto i = indexOf(aRank); i < kRankCount; ++i) {
+    while (mWaiting[i].size() > 0) {
+      removed.push_back(*mWaiting[i].pop());
     }
   }
   return removed;
--- a/libs/decide/src/EstimatedLatency.cpp
+++ b/libs/decide/src/EstimatedLatency.cpp
@@ -29,7 +29,8 @@
 
 /**
  * Estimated calls per slot, running and queued, including the call to be sent. As the
- * last report ages, the moving average of the reports replaces it.
+ * last report ages, the moving average of the reports replaces it; or none, at an
+ * upstream with a request limit: it gets no load queries, and few calls.
  */
 double
 expectedLoad(const UpstreamState& aState, Instant aNow)
@@ -37,7 +38,8 @@
   const auto slots = static_cast<double>(aState.slots);
   const auto weight = decayWeight(aNow - aState.load.receivedAt, kLoadHalfLife);
   const auto reported = (aState.load.inUse + aState.load.queued) / slots;
-  const auto load = weight * reported + (1.0 - weight) * aState.meanLoad;
+  const auto usual = aState.requestLimit.has_value() ? 0.0 : aState.meanLoad;
+  const auto load = weight * reported + (1.0 - weight) * usual;
   return std::max(load, aState.inFlight / slots) + 1.0 / slots;
 }
 
--- a/libs/decide/src/LatencyLimit.cpp
+++ b/libs/decide/src/LatencyLimit.cpp
@@ -7,6 +7,7 @@
 
 /** Latency limit of a call, as a multiple of its route's latency target. */
 constexpr double kMaxLatencyInTargets = 2.5;
+constexpr double kMaxLatencyInTargetsIfLimited = 1.25;
 
 /** Limit of the expected wait at an upstream, as a share of the tightest latency target
  * of more urgent ranks of the same service. */
@@ -32,7 +33,10 @@
   limit.maxTotal = aDeadline - aNow;
   if (aRoute.target > Duration{ 0 }) {
     const auto maxLatency = multiply(aRoute.target, kMaxLatencyInTargets);
+    const auto maxIfLimited = multiply(aRoute.target, kMaxLatencyInTargetsIfLimited);
     limit.maxTotal = std::min(limit.maxTotal, maxLatency - (aNow - aArrivedAt));
+    limit.maxTotalIfLimited =
+      std::min(limit.maxTotal, maxIfLimited - (aNow - aArrivedAt));
   }
   const auto urgentTarget = aPreset.targets.lowestMoreUrgentTarget(aService, aRoute.rank);
   if (urgentTarget != Duration::max()) {
--- a/libs/decide/src/RequestLimits.cpp
+++ b/libs/decide/src/RequestLimits.cpp
@@ -19,64 +19,67 @@
                       Instant aSentAt,
                       Instant aNow)
 {
-  if (mLimits.empty() && !aPerSecond.has_value()) {
+  if (mEntries.empty() && !aPerSecond.has_value()) {
     return LimitChange::None;
   }
   const Key key{ aUpstream.name, aUpstream.instance };
-  const auto it = mLimits.find(key);
-  if (it == mLimits.end()) {
+  const auto it = mEntries.find(key);
+  if (it == mEntries.end()) {
     if (!aPerSecond.has_value()) {
       return LimitChange::None;
     }
-    mLimits[key] = { *aPerSecond, *aPerSecond, aNow, aNow };
+    mEntries[key] = { { *aPerSecond, aNow }, *aPerSecond, aNow, aNow };
     return LimitChange::Begun;
   }
-  auto& limit = it->second;
+  auto& entry = it->second;
+  auto& limit = entry.limit;
   const bool isLower = aPerSecond.has_value() && *aPerSecond < limit.perSecond;
-  if (!isLower && aSentAt < limit.changedAt) {
+  const bool isSame = aPerSecond == limit.perSecond;
+  if (!isLower && !isSame && aSentAt < entry.changedAt) {
     return LimitChange::None;
   }
   if (!aPerSecond.has_value()) {
-    mLimits.erase(it);
+    mEntries.erase(it);
     return LimitChange::Ended;
   }
-  if (*aPerSecond == limit.perSecond) {
+  limit.statedAt = aNow;
+  if (isSame) {
     return LimitChange::None;
   }
   limit.perSecond = *aPerSecond;
-  limit.changedAt = aNow;
-  const auto [lower, higher] = std::minmax(limit.perSecond, limit.reportedPerSecond);
+  entry.changedAt = aNow;
+  const auto [lower, higher] = std::minmax(limit.perSecond, entry.reportedPerSecond);
   if (higher < lower * kReportedFactor) {
     return LimitChange::None;
   }
-  limit.reportedPerSecond = limit.perSecond;
+  entry.reportedPerSecond = limit.perSecond;
   return LimitChange::Changed;
 }
 
-std::optional<double>
+std::optional<RequestLimit>
 RequestLimits::find(const UpstreamAddress& aUpstream) const
 {
-  if (mLimits.empty()) {
+  if (mEntries.empty()) {
     return std::nullopt;
   }
-  const auto it = mLimits.find({ aUpstream.name, aUpstream.instance });
-  return it == mLimits.end() ? std::nullopt : std::optional(it->second.perSecond);
+  const auto it = mEntries.find({ aUpstream.name, aUpstream.instance });
+  return it == mEntries.end() ? std::nullopt : std::optional(it->second.limit);
 }
 
 void
 RequestLimits::onListed(const std::vector<UpstreamAddress>& aListed, Instant aNow)
 {
-  if (mLimits.empty()) {
+  if (mEntries.empty()) {
     return;
   }
   for (const auto& it : aListed) {
-    const auto limit = mLimits.find({ it.name, it.instance });
-    if (limit != mLimits.end()) {
-      limit->second.lastListedAt = aNow;
+    const auto entry = mEntries.find({ it.name, it.instance });
+    if (entry != mEntries.end()) {
+      entry->second.lastListedAt = aNow;
     }
   }
-  std::erase_if(mLimits, [aNow](const auto& aLimit) {
-    return aNow - aLimit.second.lastListedAt > kForgetAfter;
+  std::erase_if(mEntries, [aNow](const auto& aEntry) {
+    return aNow - aEntry.second.lastListedAt > kForgetAfter;
   });
 }
 
--- a/libs/decide/src/UpstreamPool.cpp
+++ b/libs/decide/src/UpstreamPool.cpp
@@ -164,6 +164,17 @@
   return isNew;
 }
 
+void
+UpstreamPool::addPermits(const UpstreamAddress& aUpstream,
+                         const PermitGrant& aGrant,
+                         Rank aRank,
+                         Instant aNow)
+{
+  if (auto* const state = findInstance(aUpstream)) {
+    state->permits.add(aGrant, aRank, aNow);
+  }
+}
+
 LimitChange
 UpstreamPool::recordLimit(const UpstreamAddress& aUpstream,
                           std::optional<double> aPerSecond,
@@ -178,31 +189,32 @@
 }
 
 bool
-UpstreamPool::isLimited(const UpstreamAddress& aUpstream) const
-{
-  const auto* const state = findInstance(aUpstream);
-  return state != nullptr && state->requestLimit.has_value();
-}
-
-bool
-UpstreamPool::acceptsRequests(const UpstreamAddress& aUpstream, Instant aNow) const
+UpstreamPool::acceptsRequest(const UpstreamAddress& aUpstream,
+                             bool aHasPermit,
+                             Instant aNow) const
 {
   const auto* const state = findInstance(aUpstream);
-  return state != nullptr && state->acceptsRequests(aNow);
+  return state != nullptr && state->isOpen(aNow) &&
+         (aHasPermit || !state->requestLimit.has_value());
 }
 
 ServiceAvailability
-UpstreamPool::availability(Instant aNow) const
+UpstreamPool::availability(Rank aRank, Instant aNow) const
 {
   ServiceAvailability availability;
   for (const auto& it : mStates) {
-    if (it->acceptsRequests(aNow)) {
-      return { true, std::nullopt };
+    if (it->acceptsRequests(aNow) || it->mayRequestPermit(aRank, aNow)) {
+      return { true, std::nullopt, false };
+    }
+    if (it->leaving) {
+      continue;
     }
-    if (!it->leaving) {
-      availability.nextAt =
-        std::min(availability.nextAt.value_or(it->heldOffUntil), it->heldOffUntil);
+    auto nextAt = it->heldOffUntil;
+    if (it->requestLimit.has_value()) {
+      availability.isLimited = true;
+      nextAt = std::max(nextAt, it->permits.nextRequestAt(aRank));
     }
+    availability.nextAt = std::min(availability.nextAt.value_or(nextAt), nextAt);
   }
   return availability;
 }
@@ -256,19 +268,59 @@
   std::vector<UpstreamState*> available;
   std::vector<UpstreamState*> backingOff;
   for (const auto& it : mStates) {
-    const bool isExcluded =
-      std::find(aExcluded.begin(), aExcluded.end(), it->address.name) != aExcluded.end();
-    if (!it->acceptsRequests(aNow) || isExcluded ||
-        (!aRegion.empty() && it->address.region != aRegion) ||
-        it->inFlight >= slowStartLimit(*it, aMaxInFlight, aNow) ||
-        (isSlow(*it) && (it->inFlight > 0 || aNow < it->nextTrialAt))) {
-      continue;
+    const bool isInRegion = aRegion.empty() || it->address.region == aRegion;
+    if (isInRegion && it->acceptsRequests(aNow) &&
+        hasRoom(*it, aMaxInFlight, aExcluded, aNow)) {
+      (it->backOffUntil > aNow ? backingOff : available).push_back(it.get());
     }
-    (it->backOffUntil > aNow ? backingOff : available).push_back(it.get());
   }
   return available.empty() ? backingOff : available;
 }
 
+std::vector<UpstreamState*>
+UpstreamPool::findPermitCandidates(Rank aRank,
+                                   int aMaxInFlight,
+                                   const std::vector<std::string>& aExcluded,
+                                   Instant aNow)
+{
+  std::vector<UpstreamState*> candidates;
+  if (mRequestLimits.isEmpty()) {
+    return candidates;
+  }
+  for (const auto& it : mStates) {
+    if (it->mayRequestPermit(aRank, aNow) && it->backOffUntil <= aNow &&
+        hasRoom(*it, aMaxInFlight, aExcluded, aNow)) {
+      candidates.push_back(it.get());
+    }
+  }
+  return candidates;
+}
+
+bool
+UpstreamPool::hasRoom(const UpstreamState& aState,
+                      int aMaxInFlight,
+                      const std::vector<std::string>& aExcluded,
+                      Instant aNow) const
+{
+  const auto& name = aState.address.name;
+  const bool isExcluded =
+    std::find(aExcluded.begin(), aExcluded.end(), name) != aExcluded.end();
+  const bool isBetweenTrials =
+    isSlow(aState) && (aState.inFlight > 0 || aNow < aState.nextTrialAt);
+  return !isExcluded && !isBetweenTrials &&
+         aState.inFlight < slowStartLimit(aState, aMaxInFlight, aNow);
+}
+
+void
+UpstreamPool::startCall(UpstreamState& aState, Instant aNow)
+{
+  ++aState.inFlight;
+  scheduleNextTrial(aState, aNow);
+  if (aState.requestLimit.has_value()) {
+    aState.permits.tryTake(aNow);
+  }
+}
+
 bool
 UpstreamPool::isSlow(const UpstreamState& aState) const
 {
--- a/libs/decide/tests/AdmissionQueueTest.cpp
+++ b/libs/decide/tests/AdmissionQueueTest.cpp
@@ -177,7 +177,7 @@
   fixture.offer(Rank::Bulk, 1);
   fixture.offer(Rank::Urgent, 2);
   fixture.offer(Rank::Standard, 3);
-  const auto removed = fixture.queue().removeWaiting();
+  const auto removed = fixture.queue().removeWaiting(Rank::Urgent);
   REQUIRE(removed.size() == 3);
   CHECK(removed[0].rank == Rank::Urgent);
   CHECK(removed[1].rank == Rank::Standard);
--- a/libs/decide/tests/HoldOffsTest.cpp
+++ b/libs/decide/tests/HoldOffsTest.cpp
@@ -134,15 +134,15 @@
 {
   test::ManualClock clock;
   VmView vm(1, clock.now());
-  CHECK(vm.pool.availability(clock.now()).isAvailable);
+  CHECK(vm.pool.availability(Rank::Standard, clock.now()).isAvailable);
   const auto early = vm.pool.holdOff(makeUpstream("a"), 1s, clock.now(), vm.random);
-  CHECK(vm.pool.availability(clock.now()).isAvailable);
+  CHECK(vm.pool.availability(Rank::Standard, clock.now()).isAvailable);
   vm.pool.holdOff(makeUpstream("b"), 9s, clock.now(), vm.random);
-  CHECK_FALSE(vm.pool.availability(clock.now()).isAvailable);
-  CHECK(vm.pool.availability(clock.now()).nextAt == early);
+  CHECK_FALSE(vm.pool.availability(Rank::Standard, clock.now()).isAvailable);
+  CHECK(vm.pool.availability(Rank::Standard, clock.now()).nextAt == early);
   vm.pool.markLeaving(makeUpstream("a"), clock.now());
-  CHECK(vm.pool.availability(clock.now()).nextAt > early);
+  CHECK(vm.pool.availability(Rank::Standard, clock.now()).nextAt > early);
   vm.pool.markLeaving(makeUpstream("b"), clock.now());
-  CHECK_FALSE(vm.pool.availability(clock.now()).isAvailable);
-  CHECK_FALSE(vm.pool.availability(clock.now()).nextAt.has_value());
+  CHECK_FALSE(vm.pool.availability(Rank::Standard, clock.now()).isAvailable);
+  CHECK_FALSE(vm.pool.availability(Rank::Standard, clock.now()).nextAt.has_value());
 }
--- a/libs/decide/tests/LatencyLimitTest.cpp
+++ b/libs/decide/tests/LatencyLimitTest.cpp
@@ -35,6 +35,13 @@
   CHECK(limitFor(Rank::Bulk, 8s, 0ms).maxTotal == 5s);
 }
 
+TEST_CASE("with request limits, a call is not sent where it would end after its target")
+{
+  CHECK(limitFor(Rank::Urgent, 3s, 0ms).maxTotalIfLimited == 500ms);
+  CHECK(limitFor(Rank::Urgent, 3s, 200ms).maxTotalIfLimited == 300ms);
+  CHECK(limitFor(Rank::Urgent, 100ms, 0ms).maxTotalIfLimited == 100ms);
+}
+
 TEST_CASE("a call is not sent where it would end after its deadline")
 {
   CHECK(limitFor(Rank::Urgent, 500ms, 0ms).maxTotal == 500ms);
--- a/libs/decide/tests/RequestLimitsTest.cpp
+++ b/libs/decide/tests/RequestLimitsTest.cpp
@@ -10,6 +10,13 @@
 const UpstreamAddress kUpstream{ "i-1", "lookup", "r", "10.0.0.1", 9000, "1000" };
 const UpstreamAddress kRestarted{ "i-1", "lookup", "r", "10.0.0.1", 9000, "2000" };
 
+std::optional<double>
+perSecondOf(const RequestLimits& aLimits, const UpstreamAddress& aUpstream)
+{
+  const auto limit = aLimits.find(aUpstream);
+  return limit.has_value() ? std::optional(limit->perSecond) : std::nullopt;
+}
+
 } // namespace
 
 TEST_CASE("a limit lasts until a later response states none")
@@ -18,9 +25,9 @@
   RequestLimits limits;
   CHECK(limits.record(kUpstream, {}, clock.now(), clock.now()) == LimitChange::None);
   CHECK(limits.record(kUpstream, 5.0, clock.now(), clock.now()) == LimitChange::Begun);
-  CHECK(limits.find(kUpstream) == 5.0);
+  CHECK(perSecondOf(limits, kUpstream) == 5.0);
   clock.advance(std::chrono::hours(1));
-  CHECK(limits.find(kUpstream) == 5.0);
+  CHECK(perSecondOf(limits, kUpstream) == 5.0);
   CHECK(limits.record(kUpstream, {}, clock.now(), clock.now()) == LimitChange::Ended);
   CHECK_FALSE(limits.find(kUpstream).has_value());
 }
@@ -35,12 +42,12 @@
   clock.advance(10ms);
   CHECK(limits.record(kUpstream, {}, early, clock.now()) == LimitChange::None);
   CHECK(limits.record(kUpstream, 9.0, early, clock.now()) == LimitChange::None);
-  CHECK(limits.find(kUpstream) == 5.0);
+  CHECK(perSecondOf(limits, kUpstream) == 5.0);
   // A lower one applies whenever it arrives.
   CHECK(limits.record(kUpstream, 3.0, early, clock.now()) == LimitChange::Changed);
-  CHECK(limits.find(kUpstream) == 3.0);
+  CHECK(perSecondOf(limits, kUpstream) == 3.0);
   CHECK(limits.record(kUpstream, 9.0, clock.now(), clock.now()) == LimitChange::Changed);
-  CHECK(limits.find(kUpstream) == 9.0);
+  CHECK(perSecondOf(limits, kUpstream) == 9.0);
 }
 
 TEST_CASE("a limit that differs in every response is reported when it has changed much")
@@ -56,7 +63,7 @@
       limits.record(kUpstream, perSecond, clock.now(), clock.now()) != LimitChange::None
         ? 1
         : 0;
-    CHECK(limits.find(kUpstream) == perSecond);
+    CHECK(perSecondOf(limits, kUpstream) == perSecond);
   }
   CHECK(changes == 0);
   CHECK(limits.record(kUpstream, 8.0, clock.now(), clock.now()) == LimitChange::Changed);
@@ -69,7 +76,7 @@
   limits.record(kUpstream, 5.0, clock.now(), clock.now());
   CHECK_FALSE(limits.find(kRestarted).has_value());
   limits.onListed({ kRestarted }, clock.now());
-  CHECK(limits.find(kUpstream) == 5.0);
+  CHECK(perSecondOf(limits, kUpstream) == 5.0);
   clock.advance(std::chrono::minutes(31));
   limits.onListed({ kRestarted }, clock.now());
   CHECK_FALSE(limits.find(kUpstream).has_value());
--- a/libs/entry/include/entry/ControlPlane.h
+++ b/libs/entry/include/entry/ControlPlane.h
@@ -4,6 +4,9 @@
 #include <core/Time.h>
 #include <decide/Claim.h>
 #include <decide/ClaimVerdict.h>
+#include <decide/PermitGrant.h>
+#include <decide/PermitRequest.h>
+#include <decide/UpstreamAddress.h>
 #include <functional>
 #include <messages/Feed.h>
 #include <messages/OrderReport.h>
@@ -41,6 +44,12 @@
    * reached, or at once if the owner does not wait for them. */
   std::function<void(const SuspectCount&, std::function<void()>)> reportSuspect;
 
+  using PermitCallback = std::function<void(const PermitGrant&)>;
+
+  /** Requests permits for an upstream with a request limit; calls back once. */
+  std::function<void(const UpstreamAddress&, const PermitRequest&, PermitCallback)>
+    requestPermits;
+
   /** Whether presets and membership are kept up to date: the control process that feeds
    * them can be reached, or the source has been read recently. */
   std::function<bool()> isConnected;
--- a/libs/entry/src/Call.h
+++ b/libs/entry/src/Call.h
@@ -50,6 +50,7 @@
   std::size_t pendingLoadQueries = 0; ///< unanswered load queries, in stage QueryingLoads
   int loadQueryRounds = 0;
   TimerHandle loadQueryTimer;
+  bool hasPermit = false;                  ///< for `upstream`, which has a request limit
   std::optional<UpstreamAddress> upstream; ///< in stages Sending and Settling
   std::uint64_t exchange = 0; ///< id in the worker's connection pool; 0: none
   Instant sentAt;
--- a/libs/entry/src/EntryWorker.h
+++ b/libs/entry/src/EntryWorker.h
@@ -10,6 +10,7 @@
 #include <decide/TrafficSplit.h>
 #include <http/HttpListener.h>
 #include <http/UpstreamConnectionPool.h>
+#include <map>
 #include <optional>
 #include <random>
 #include <runtime/TimerService.h>
@@ -44,6 +45,9 @@
   /** Another call has settled the order that this call waits for. */
   void onOrderSettled(std::uint64_t aCall, const OrderView& aView);
 
+  /** The reply to a request for permits, for calls of `aRank`; they are in the table. */
+  void onPermits(const UpstreamAddress& aUpstream, const PermitGrant& aGrant, Rank aRank);
+
   /** The active preset or the VM list has changed. */
   void onPresetChanged();
 
@@ -77,12 +81,20 @@
   void requestClaim(Call& aCall);
 
   // Load queries
+  /** Queries the load of the upstreams that the call may be sent to, and requests a
+   * permit where it needs one; sends it if there is nothing to wait for. */
   void queryLoads(Call& aCall);
+
+  /** The upstreams whose load should be queried now, within the budget. */
+  std::vector<UpstreamAddress> loadQueryTargets(const Call& aCall,
+                                                const UpstreamQuery& aQuery);
   void queryLoad(const Call& aCall, const UpstreamAddress& aUpstream, std::string aPath);
   void onLoadReply(const LoadQueryId& aQuery,
                    const UpstreamAddress& aUpstream,
                    const http::ExchangeResult& aResult,
                    Instant aSentAt);
+  /** A load query or request for a permit of the call has ended. */
+  void onQueryDone(const LoadQueryId& aQuery);
   void finishLoadQueries(std::uint64_t aCall);
 
   // Sending
@@ -123,17 +135,20 @@
                        Duration aDuration,
                        ReportSource aSource);
 
-  /** Refuses the waiting calls of a service without any upstream that accepts requests.
-   */
+  /** Refuses the waiting calls of a service that no upstream can get. */
   void refuseWaitingIfUnavailable(const std::string& aService);
   void onUnavailable(std::uint64_t aCall);
 
-  /** Ends a call that no upstream can run, as all leave or are held off. */
+  /** Ends a call that no upstream can run: all leave, are held off or have no permit. */
   void endAsUnavailable(Call& aCall);
 
-  /** Until the first held-off upstream of a service accepts requests; 0 if any accepts
-   * them now, or none ever will. */
-  Duration timeUntilAvailable(const std::string& aService) const;
+  /** Until the first upstream may accept the call again; 0 if any accepts it now, or none
+   * ever will. */
+  Duration timeUntilAvailable(const Call& aCall) const;
+
+  // Permits of upstreams with a request limit
+  /** Requests a permit for the call, or waits for the request that is in progress. */
+  void requestPermit(const Call& aCall, const PermitCandidate& aCandidate);
 
   // Upstream crashes
   /** After a lost connection: reports a crash if the upstream's port is closed. */
@@ -192,6 +207,15 @@
   std::uint64_t mNextSequence = 1;
   std::optional<TokenBucket> mLoadQueryBudget; ///< set with the first preset
   RetryBudget mRetryBudget;
+
+  /** The calls that wait for permits of one upstream instance. */
+  struct PermitWait
+  {
+    std::vector<LoadQueryId> waiting; ///< empty: no request is in progress
+    int wanted = 1;                   ///< permits, for the next request
+  };
+  std::map<std::pair<std::string, std::string>, PermitWait>
+    mPermitWaits; ///< by upstream name and instance
   TrafficSplit mTrafficSplit;
   std::mt19937_64 mRandom;
   TimerHandle mGaugeTimer;
--- a/libs/entry/src/EntryWorkerArrival.cpp
+++ b/libs/entry/src/EntryWorkerArrival.cpp
@@ -148,7 +148,8 @@
 void
 EntryWorker::requestAdmission(Call& aCall)
 {
-  if (!mTables.upstreams.availability(aCall.service, mTimers.now()).isAvailable) {
+  const auto rank = aCall.route->rank;
+  if (!mTables.upstreams.availability(aCall.service, rank, mTimers.now()).isAvailable) {
     endAsUnavailable(aCall);
     return;
   }
--- a/libs/entry/src/EntryWorkerEnding.cpp
+++ b/libs/entry/src/EntryWorkerEnding.cpp
@@ -177,7 +177,7 @@
     aError = CallError::UpstreamFailed;
   }
   if (outcome == Outcome::NotRun) {
-    aCall.heldOffFor = timeUntilAvailable(aCall.service);
+    aCall.heldOffFor = timeUntilAvailable(aCall);
     settleOrder(aCall, OrderState::NotRun, nullptr);
   } else {
     settleOrder(aCall, OrderState::Unknown, nullptr);
--- a/libs/entry/src/EntryWorkerLoadQueries.cpp
+++ b/libs/entry/src/EntryWorkerLoadQueries.cpp
@@ -41,38 +41,54 @@
 void
 EntryWorker::queryLoads(Call& aCall)
 {
-  const auto now = mTimers.now();
-  const auto& limits = aCall.preset->limits;
-  const auto round = aCall.loadQueryRounds++;
-  const bool mayQuery = limits.loadQueries > 0 && round < kMaxLoadQueryRounds;
-  const auto* const path =
-    mayQuery ? healthPathOf(*aCall.preset, aCall.service) : nullptr;
-  if (path == nullptr) {
+  const auto query = upstreamQueryFor(aCall);
+  const auto permit = mTables.upstreams.permitCandidate(query, mTimers.now());
+  const bool mustWait = permit.has_value() && !permit->hasAlternative;
+  const bool wantsPermit =
+    mustWait || (permit.has_value() && aCall.loadQueryRounds < kMaxLoadQueryRounds);
+  const auto stale = loadQueryTargets(aCall, query);
+  ++aCall.loadQueryRounds;
+  if (stale.empty() && !wantsPermit) {
     send(aCall);
     return;
   }
-  const auto scope = LoadQueryScope::ofRound(limits, round);
-  const auto stale = mTables.upstreams.staleTopCandidates(
-    upstreamQueryFor(aCall), scope, kMaxReportAge, now);
+  aCall.stage = CallStage::QueryingLoads;
+  aCall.pendingLoadQueries = stale.size() + (wantsPermit ? 1 : 0);
+  const auto id = aCall.id;
+  if (!mustWait) {
+    aCall.loadQueryTimer =
+      mTimers.scheduleAfter(kMaxLoadQueryWait, [this, id] { finishLoadQueries(id); });
+  }
+  if (wantsPermit) {
+    requestPermit(aCall, *permit);
+  }
+  const auto* const path = healthPathOf(*aCall.preset, aCall.service);
+  for (const auto& it : stale) {
+    queryLoad(aCall, it, *path);
+  }
+}
+
+std::vector<UpstreamAddress>
+EntryWorker::loadQueryTargets(const Call& aCall, const UpstreamQuery& aQuery)
+{
+  const auto now = mTimers.now();
+  const auto& limits = aCall.preset->limits;
+  const auto round = aCall.loadQueryRounds;
+  if (limits.loadQueries == 0 || round >= kMaxLoadQueryRounds ||
+      healthPathOf(*aCall.preset, aCall.service) == nullptr) {
+    return {};
+  }
+  auto stale = mTables.upstreams.staleTopCandidates(
+    aQuery, LoadQueryScope::ofRound(limits, round), kMaxReportAge, now);
   const auto cost = static_cast<double>(stale.size());
   // The budget is set by a task that may run after the first calls with a new preset.
   const bool isWithinBudget = stale.empty() || (mLoadQueryBudget.has_value() &&
                                                 mLoadQueryBudget->tryConsume(cost, now));
   if (!isWithinBudget) {
     mTables.metrics.count(Counter::LoadQueries, "over-budget");
+    stale.clear();
   }
-  if (stale.empty() || !isWithinBudget) {
-    send(aCall);
-    return;
-  }
-  aCall.stage = CallStage::QueryingLoads;
-  aCall.pendingLoadQueries = stale.size();
-  const auto id = aCall.id;
-  aCall.loadQueryTimer =
-    mTimers.scheduleAfter(kMaxLoadQueryWait, [this, id] { finishLoadQueries(id); });
-  for (const auto& it : stale) {
-    queryLoad(aCall, it, *path);
-  }
+  return stale;
 }
 
 void
@@ -80,9 +96,6 @@
                        const UpstreamAddress& aUpstream,
                        std::string aPath)
 {
-  if (mTables.upstreams.isLimited(aUpstream)) {
-    mTables.metrics.count(Counter::LimitedRequests, "load-query");
-  }
   const auto query = currentQuery(aCall);
   http::Exchange exchange;
   exchange.host = QHostAddress(QString::fromStdString(aUpstream.host));
@@ -94,7 +107,7 @@
   exchange.connectTimeout = kLoadQueryTimeout;
   exchange.isMatchingResponse = mContext.dialect.isLoadQueryResponse;
   exchange.canStillSend = [this, aUpstream] {
-    return mTables.upstreams.acceptsRequests(aUpstream, mTimers.now());
+    return mTables.upstreams.acceptsRequest(aUpstream, false, mTimers.now());
   };
   exchange.done = [this, query, aUpstream, sentAt = mTimers.now()](
                     const http::ExchangeResult& aResult) {
@@ -121,6 +134,12 @@
                 ReportSource::LoadQuery,
                 aSentAt);
   }
+  onQueryDone(aQuery);
+}
+
+void
+EntryWorker::onQueryDone(const LoadQueryId& aQuery)
+{
   auto* const call = findCall(aQuery.call);
   if (call == nullptr || call->stage != CallStage::QueryingLoads ||
       currentQuery(*call) != aQuery) {
--- a/libs/entry/src/EntryWorkerSending.cpp
+++ b/libs/entry/src/EntryWorkerSending.cpp
@@ -53,7 +53,8 @@
     const bool hasNothingToReport =
       !aCall.wasShed && !aCall.mayHaveRun && !aCall.lastErrorResponse.has_value();
     if (hasNothingToReport && chosen.error() == CallError::NoUpstream &&
-        !mTables.upstreams.availability(aCall.service, now).isAvailable) {
+        !mTables.upstreams.availability(aCall.service, aCall.route->rank, now)
+           .isAvailable) {
       endAsUnavailable(aCall);
       return;
     }
@@ -63,7 +64,8 @@
     return;
   }
   const auto& choice = chosen.value();
-  if (choice.isLimited) {
+  aCall.hasPermit = choice.hasPermit;
+  if (choice.hasPermit) {
     mTables.metrics.count(Counter::LimitedRequests, "call");
   }
   aCall.upstream = choice.address;
@@ -98,11 +100,12 @@
   // upstream may have refused other calls, or this process may have been paused.
   exchange.canStillSend = [this,
                            upstream = *aCall.upstream,
+                           hasPermit = aCall.hasPermit,
                            isClaimedOrder = aCall.isClaimedOrder(),
                            sequence = aCall.claim.sequence,
                            deadline = aCall.deadline] {
     const auto now = mTimers.now();
-    if (!mTables.upstreams.acceptsRequests(upstream, now)) {
+    if (!mTables.upstreams.acceptsRequest(upstream, hasPermit, now)) {
       return false;
     }
     return !isClaimedOrder || (now < deadline && mTables.orders.markSent(sequence));
@@ -195,7 +198,8 @@
 {
   const auto& error = aResult.error;
   if (error == ExchangeError::NotSent) {
-    if (!mTables.upstreams.acceptsRequests(*aCall.upstream, mTimers.now())) {
+    if (!mTables.upstreams.acceptsRequest(
+          *aCall.upstream, aCall.hasPermit, mTimers.now())) {
       chooseAgain(aCall);
       return;
     }
--- a/libs/entry/src/EntryWorkerSignals.cpp
+++ b/libs/entry/src/EntryWorkerSignals.cpp
@@ -130,13 +130,19 @@
 void
 EntryWorker::refuseWaitingIfUnavailable(const std::string& aService)
 {
-  if (mTables.upstreams.availability(aService, mTimers.now()).isAvailable) {
+  const auto now = mTimers.now();
+  for (const auto& rank : EnumTable<Rank>::kEntries) {
+    if (mTables.upstreams.availability(aService, rank.value, now).isAvailable) {
+      continue;
+    }
+    // What a call can't get, less urgent ones can't get either.
+    for (const auto& it : mTables.admission.removeWaiting(aService, rank.value)) {
+      mContext.postToWorker(it.worker, [call = it.call](EntryWorker& aWorker) {
+        aWorker.onUnavailable(call);
+      });
+    }
     return;
   }
-  for (const auto& it : mTables.admission.removeWaiting(aService)) {
-    mContext.postToWorker(
-      it.worker, [call = it.call](EntryWorker& aWorker) { aWorker.onUnavailable(call); });
-  }
 }
 
 void
@@ -151,16 +157,23 @@
 void
 EntryWorker::endAsUnavailable(Call& aCall)
 {
-  const auto availability = mTables.upstreams.availability(aCall.service, mTimers.now());
-  endWithError(
-    aCall, availability.nextAt.has_value() ? CallError::HeldOff : CallError::NoUpstream);
+  const auto availability =
+    mTables.upstreams.availability(aCall.service, aCall.route->rank, mTimers.now());
+  if (availability.isLimited) {
+    endWithError(aCall, CallError::Limited);
+  } else {
+    endWithError(aCall,
+                 availability.nextAt.has_value() ? CallError::HeldOff
+                                                 : CallError::NoUpstream);
+  }
 }
 
 Duration
-EntryWorker::timeUntilAvailable(const std::string& aService) const
+EntryWorker::timeUntilAvailable(const Call& aCall) const
 {
   const auto now = mTimers.now();
-  const auto nextAt = mTables.upstreams.availability(aService, now).nextAt;
+  const auto nextAt =
+    mTables.upstreams.availability(aCall.service, aCall.route->rank, now).nextAt;
   return nextAt.has_value() ? std::max(Duration{ 0 }, *nextAt - now) : Duration{ 0 };
 }
 
--- a/libs/entry/src/StateDump.cpp
+++ b/libs/entry/src/StateDump.cpp
@@ -27,7 +27,8 @@
       { QStringLiteral("failuresInARow"), it.failuresInARow },
       { QStringLiteral("leaving"), it.leaving },
       { QStringLiteral("requestLimit"),
-        it.requestLimit.has_value() ? QJsonValue(*it.requestLimit) : QJsonValue() },
+        it.requestLimit.has_value() ? QJsonValue(it.requestLimit->perSecond)
+                                    : QJsonValue() },
       { QStringLiteral("heldOffMs"),
         static_cast<qint64>(
           toMilliseconds(std::max(Duration{ 0 }, it.heldOffUntil - now))) },
--- a/libs/gateway/include/gateway/ConfigSync.h
+++ b/libs/gateway/include/gateway/ConfigSync.h
@@ -74,6 +74,13 @@
   /** True if the source was read recently enough, by this VM or by another. */
   bool isFresh() const { return isFresh(mCache.age()); }
 
+  /** When another VM has asked this one for its feed, or replied to it; Instant{}: never.
+   */
+  Instant lastContactAt() const
+  {
+    return std::max(mFeedServer.lastRequestAt(), mLastReplyAt);
+  }
+
   /** The time since the source was last read, by this VM or by another. */
   Duration age() const { return mCache.age(); }
 
@@ -173,6 +180,7 @@
   Instant mAnnouncedAt;
   TimerHandle mSweepTimer;
   VmListMerger mMerger;
+  Instant mLastReplyAt;                  ///< of another VM
   FeedCursor mCursor;                    ///< position in the feed of the polled peer
   std::optional<std::size_t> mPeerIndex; ///< polled peer, in the feed candidates
 
--- a/libs/gateway/include/gateway/ConfigSyncFeeds.h
+++ b/libs/gateway/include/gateway/ConfigSyncFeeds.h
@@ -162,6 +162,7 @@
   const auto replying = mReachability.countReplying(candidates);
   const bool wasAbsent = mReachability.isAbsent(aVm);
   if (aHasReplied) {
+    mLastReplyAt = mTimers.now();
     mReachability.recordReply(aVm);
   } else {
     mReachability.recordFailure(aVm, mTimers.now());
--- a/libs/gateway/include/gateway/GatewayDaemon.h
+++ b/libs/gateway/include/gateway/GatewayDaemon.h
@@ -4,6 +4,7 @@
 #include <feed/PeerMessenger.h>
 #include <filesystem>
 #include <gateway/ConfigSync.h>
+#include <gateway/PermitService.h>
 #include <gateway/Platform.h>
 
 namespace masticwall {
@@ -69,6 +70,7 @@
   typename P::ConfigSource mSource;
   std::unique_ptr<EntryProcess> mProcess;
   std::unique_ptr<PeerMessenger> mPeerMessenger;
+  std::unique_ptr<PermitService> mPermitService;
   std::unique_ptr<ConfigSync<typename P::ConfigSource>> mConfigSync;
   std::unique_ptr<PeerServer> mServer;
   std::filesystem::file_time_type mSettingsChangedAt; ///< modification time of the file
@@ -87,8 +89,13 @@
   auto& tables = mProcess->tables();
   mPeerMessenger = std::make_unique<PeerMessenger>(
     mTimers, tables.membership, mSettings.entry.common.vm);
+  mPermitService = std::make_unique<PermitService>(
+    mTimers, mSettings.entry.common.vm, [this] { return mConfigSync->lastContactAt(); });
   mConfigSync = std::make_unique<ConfigSync<typename P::ConfigSource>>(
-    mTimers, tables, mSource, ownVm(), [this] { mProcess->onTablesChanged(); });
+    mTimers, tables, mSource, ownVm(), [this, &tables] {
+      mPermitService->setMembers(tables.membership.current());
+      mProcess->onTablesChanged();
+    });
   mProcess->setControlPlane(makeControlPlane());
   BOOST_OUTCOME_TRY(
     server,
@@ -139,6 +146,11 @@
     mPeerMessenger->sendToAll(paths::kSuspect, encode(aSuspect));
     aDone();
   };
+  controlPlane.requestPermits = [this](const UpstreamAddress& aUpstream,
+                                       const PermitRequest& aRequest,
+                                       const ControlPlane::PermitCallback& aDone) {
+    mPermitService->request(aUpstream, aRequest, aDone);
+  };
   // The source counts as reachable while the data is fresh, whichever VM reads it.
   controlPlane.isConnected = [this] { return mConfigSync->isFresh(); };
   controlPlane.sourceAge = [this] { return mConfigSync->age(); };
@@ -162,6 +174,10 @@
     onSuspect(aBody, aReply);
     return;
   }
+  if (aPath == paths::kPermits) {
+    mPermitService->serve(aBody, aReply);
+    return;
+  }
   logEvent(LogEvent::MessageBad, { { "path", aPath } });
   aReply(std::nullopt);
 }
--- a/libs/messages/include/messages/Paths.h
+++ b/libs/messages/include/messages/Paths.h
@@ -20,6 +20,9 @@
 /** SuspectCount to an empty reply. Also served to the entry process on the same VM. */
 inline constexpr const char* kSuspect = "/suspect";
 
+// Served by a gateway process to those of other VMs.
+inline constexpr const char* kPermits = "/permits"; ///< PermitRequest to PermitGrant
+
 // Served by an entry process to those of other VMs.
 inline constexpr const char* kOrder = "/order"; ///< ClaimId to OrderReport; long poll
 
--- a/libs/messages/src/Field.h
+++ b/libs/messages/src/Field.h
@@ -60,6 +60,11 @@
   Compressed = 50, ///< another map, compressed; the only field of its map
   IsVmsDelta = 51,
   ClearedCount = 52,
+  Rank = 53,
+  PerSecond = 54,
+  Permits = 55, ///< wanted or granted
+  NextInMs = 56,
+  IsLastResort = 58,
 };
 
 } // namespace masticwall
--- a/libs/messages/tests/MessagesTest.cpp
+++ b/libs/messages/tests/MessagesTest.cpp
@@ -5,6 +5,8 @@
 #include <messages/Feed.h>
 #include <messages/MessageError.h>
 #include <messages/OrderReport.h>
+#include <messages/PermitGrantMessage.h>
+#include <messages/PermitRequestMessage.h>
 #include <messages/VmListMessage.h>
 
 using namespace masticwall;
@@ -21,6 +23,26 @@
   CHECK(decoded.value().releases == record.releases);
 }
 
+TEST_CASE("a request for permits and its reply decode to what was encoded")
+{
+  const PermitRequest request{ "i-1", "17", 4.25, 1500ms, Rank::Bulk, 3, true };
+  const auto decoded = decodePermitRequest(encode(request));
+  REQUIRE(decoded.has_value());
+  CHECK(decoded.value().upstream == "i-1");
+  CHECK(decoded.value().instance == "17");
+  CHECK(decoded.value().perSecond == 4.25);
+  CHECK(decoded.value().limitAge == 1500ms);
+  CHECK(decoded.value().rank == Rank::Bulk);
+  CHECK(decoded.value().wanted == 3);
+  CHECK(decoded.value().isLastResort);
+  const auto grant = decodePermitGrant(encode(PermitGrant{ 0, 40ms }));
+  REQUIRE(grant.has_value());
+  CHECK(grant.value().permits == 0);
+  CHECK(grant.value().nextIn == 40ms);
+  CHECK(decodePermitRequest("odd").has_error());
+  CHECK(decodePermitGrant("odd").has_error());
+}
+
 TEST_CASE("a feed with a preset, VMs and suspects decodes to what was encoded")
 {
   Feed feed;
--- a/libs/tables/include/tables/AdmissionTable.h
+++ b/libs/tables/include/tables/AdmissionTable.h
@@ -40,8 +40,9 @@
   /** Ends a started call; returns the waiting calls to start and those to drop. */
   AdmissionRelease release(const std::string& aService, Instant aNow);
 
-  /** Removes and returns all waiting calls of a service. */
-  std::vector<AdmissionRequest> removeWaiting(const std::string& aService);
+  /** Removes and returns the waiting calls of a service of `aRank` and of less urgent
+   * ones. */
+  std::vector<AdmissionRequest> removeWaiting(const std::string& aService, Rank aRank);
 
   /** Removes a waiting call; false if it is not waiting. */
   bool cancel(const std::string& aService, const AdmissionRequest& aAdmissionRequest);
--- a/libs/tables/include/tables/UpstreamChoice.h
+++ b/libs/tables/include/tables/UpstreamChoice.h
@@ -11,7 +11,7 @@
   UpstreamAddress address;
   LoadReport load;        ///< last report of the upstream
   int inFlight = 0;       ///< calls from this process, including the new one
-  bool isLimited = false; ///< it has stated a request limit
+  bool hasPermit = false; ///< taken for this call, as the upstream has a request limit
 };
 
 } // namespace masticwall
--- a/libs/tables/include/tables/UpstreamTable.h
+++ b/libs/tables/include/tables/UpstreamTable.h
@@ -73,14 +73,27 @@
                           Instant aSentAt,
                           Instant aNow);
 
-  /** Whether the upstream's instance is listed and has a request limit. */
-  bool isLimited(const UpstreamAddress& aUpstream) const;
-
-  /** Whether the upstream's instance is listed, does not leave and is not held off. */
-  bool acceptsRequests(const UpstreamAddress& aUpstream, Instant aNow) const;
-
-  /** Whether any upstream of the service accepts requests. */
-  ServiceAvailability availability(const std::string& aService, Instant aNow) const;
+  /** The upstream for which a permit should be requested before the call is sent; see
+   * UpstreamPool::permitCandidate(). */
+  std::optional<PermitCandidate> permitCandidate(const UpstreamQuery& aQuery,
+                                                 Instant aNow);
+
+  /** Adds the reply to a request for permits; see UpstreamPool::addPermits(). */
+  void addPermits(const UpstreamAddress& aUpstream,
+                  const PermitGrant& aGrant,
+                  Rank aRank,
+                  Instant aNow);
+
+  /** Whether the upstream's instance is listed, does not leave, is not held off, and has
+   * no request limit or the request has a permit. */
+  bool acceptsRequest(const UpstreamAddress& aUpstream,
+                      bool aHasPermit,
+                      Instant aNow) const;
+
+  /** Whether any upstream of the service may get a call of `aRank`. */
+  ServiceAvailability availability(const std::string& aService,
+                                   Rank aRank,
+                                   Instant aNow) const;
 
   /** See UpstreamPool::typicalProcessingTime(); zero for an unknown service. */
   Duration typicalProcessingTime(const std::string& aService) const;
--- a/libs/tables/src/AdmissionTable.cpp
+++ b/libs/tables/src/AdmissionTable.cpp
@@ -29,10 +29,10 @@
 }
 
 std::vector<AdmissionRequest>
-AdmissionTable::removeWaiting(const std::string& aService)
+AdmissionTable::removeWaiting(const std::string& aService, Rank aRank)
 {
   std::scoped_lock lock(mMutex);
-  return mQueues[aService].removeWaiting();
+  return mQueues[aService].removeWaiting(aRank);
 }
 
 bool
--- a/libs/tables/src/UpstreamTable.cpp
+++ b/libs/tables/src/UpstreamTable.cpp
@@ -129,28 +129,41 @@
   return mPools[aUpstream.service].recordLimit(aUpstream, aPerSecond, aSentAt, aNow);
 }
 
-bool
-UpstreamTable::isLimited(const UpstreamAddress& aUpstream) const
+std::optional<PermitCandidate>
+UpstreamTable::permitCandidate(const UpstreamQuery& aQuery, Instant aNow)
 {
   std::scoped_lock lock(mMutex);
-  const auto it = mPools.find(aUpstream.service);
-  return it != mPools.end() && it->second.isLimited(aUpstream);
+  return mPools[aQuery.service].permitCandidate(
+    mLocality, aQuery.limit, aQuery.rank, mMaxInFlight, aQuery.excluded, aNow, mRandom);
+}
+
+void
+UpstreamTable::addPermits(const UpstreamAddress& aUpstream,
+                          const PermitGrant& aGrant,
+                          Rank aRank,
+                          Instant aNow)
+{
+  std::scoped_lock lock(mMutex);
+  mPools[aUpstream.service].addPermits(aUpstream, aGrant, aRank, aNow);
 }
 
 bool
-UpstreamTable::acceptsRequests(const UpstreamAddress& aUpstream, Instant aNow) const
+UpstreamTable::acceptsRequest(const UpstreamAddress& aUpstream,
+                              bool aHasPermit,
+                              Instant aNow) const
 {
   std::scoped_lock lock(mMutex);
   const auto it = mPools.find(aUpstream.service);
-  return it != mPools.end() && it->second.acceptsRequests(aUpstream, aNow);
+  return it != mPools.end() && it->second.acceptsRequest(aUpstream, aHasPermit, aNow);
 }
 
 ServiceAvailability
-UpstreamTable::availability(const std::string& aService, Instant aNow) const
+UpstreamTable::availability(const std::string& aService, Rank aRank, Instant aNow) const
 {
   std::scoped_lock lock(mMutex);
   const auto it = mPools.find(aService);
-  return it == mPools.end() ? ServiceAvailability{} : it->second.availability(aNow);
+  return it == mPools.end() ? ServiceAvailability{}
+                            : it->second.availability(aRank, aNow);
 }
 
 Duration
--- a/libs/telemetry/include/telemetry/Counter.h
+++ b/libs/telemetry/include/telemetry/Counter.h
@@ -18,7 +18,7 @@
    * "bad-retry-after" or "bad-server-limit". */
   UpstreamSignals,
   LoadQueries,     ///< "answered" or "failed" queries; "over-budget": none sent
-  LimitedRequests, ///< to upstreams with a request limit: "call" or "load-query"
+  LimitedRequests, ///< to upstreams with a request limit: "call"; "no-permit": none sent
 };
 
 template<>
--- a/libs/telemetry/include/telemetry/LogEvent.h
+++ b/libs/telemetry/include/telemetry/LogEvent.h
@@ -35,6 +35,7 @@
   UpstreamHeldOff,   ///< an upstream wants no requests for a time
   RetryAfterBad,     ///< an upstream's Retry-After is no time; it is ignored
   UpstreamLimit,     ///< an upstream's request limit began, changed or ended
+  IssuerLost,        ///< a VM that issues permits for such an upstream has not replied
   ServerLimitBad,    ///< an upstream's request limit is no number; it is ignored
   SuspectStopped,    ///< not retried: the request is blocked, as it crashed upstreams
   SuspectTried,   ///< sent once although it is blocked, to see whether it still crashes
@@ -62,7 +63,7 @@
 template<>
 struct EnumTable<LogEvent>
 {
-  static constexpr std::array<EnumName<LogEvent>, 49> kEntries{ {
+  static constexpr std::array<EnumName<LogEvent>, 50> kEntries{ {
     { LogEvent::Started, "started" },
     { LogEvent::Stopped, "stopped" },
     { LogEvent::StopRequested, "stop-requested" },
@@ -90,6 +91,7 @@
     { LogEvent::UpstreamHeldOff, "upstream-held-off" },
     { LogEvent::RetryAfterBad, "retry-after-bad" },
     { LogEvent::UpstreamLimit, "upstream-limit" },
+    { LogEvent::IssuerLost, "issuer-lost" },
     { LogEvent::ServerLimitBad, "server-limit-bad" },
     { LogEvent::SuspectStopped, "suspect-stopped" },
     { LogEvent::SuspectTried, "suspect-tried" },
