Read the era of the store, pass it on with feeds, and log when it rises

Cause: nothing tells that the store has come back from an older copy, so that what follows can't be told from a short outage.

The stand-in of the store keeps a copy, comes back from it and counts eras. Nothing else uses the era yet.

--- a/libs/gateway/include/gateway/ConfigSync.h
+++ b/libs/gateway/include/gateway/ConfigSync.h
@@ -129,6 +129,9 @@
   void updateTreePosition();
   void requestFeed(const Vm& aVm, const FeedRequest& aHave, PeerClient::Callback aDone);
 
+  /** Logs that the source has come back from an older copy, if the era says so. */
+  void recordEra(std::optional<std::uint64_t> aEra);
+
   // Members
 
   /** While this VM is the one that reads for all: asks the other VMs in turn whether they
--- a/libs/gateway/include/gateway/ConfigSyncFeeds.h
+++ b/libs/gateway/include/gateway/ConfigSyncFeeds.h
@@ -95,6 +95,7 @@
 ConfigSync<S>::applyFeed(const Feed& aFeed)
 {
   applySuspects(aFeed);
+  recordEra(aFeed.era);
   const auto readAt = mTimers.now() - std::chrono::milliseconds(aFeed.ageMs);
   const auto text = aFeed.sections.find(kWholePresetSection);
   if (text != aFeed.sections.end()) {
@@ -119,6 +120,19 @@
   mFeedServer.onChange();
 }
 
+template<ConfigSource S>
+void
+ConfigSync<S>::recordEra(std::optional<std::uint64_t> aEra)
+{
+  if (!mCache.recordEra(aEra)) {
+    return;
+  }
+  logEvent(LogEvent::SourceRestored,
+           { { "era", *aEra },
+             { "version", mCache.presetVersion() },
+             { "age_ms", toMilliseconds(mCache.age()) } });
+}
+
 template<ConfigSource S>
 void
 ConfigSync<S>::searchPeers()
--- a/libs/gateway/include/gateway/ConfigSyncReading.h
+++ b/libs/gateway/include/gateway/ConfigSyncReading.h
@@ -114,6 +114,7 @@
       logEvent(LogEvent::SourceReachable, { { "age_ms", toMilliseconds(mCache.age()) } });
     }
     const auto& snapshot = aSnapshot.value();
+    recordEra(snapshot.era);
     auto vms = mMerger.mergeFromSource(mTables.membership.current(),
                                        snapshot.vms,
                                        mCache.isEmpty() ? Instant{} : mCache.readAt(),
--- a/libs/gateway/include/gateway/SourceCache.h
+++ b/libs/gateway/include/gateway/SourceCache.h
@@ -3,6 +3,7 @@
 #include <decide/MembershipHistory.h>
 #include <feed/FeedProvider.h>
 #include <functional>
+#include <optional>
 #include <runtime/TimerService.h>
 #include <string>
 
@@ -48,6 +49,10 @@
   /** The source was read at `aTime`, by this VM or by another. */
   void recordRead(Instant aTime);
 
+  /** Records the era of the source that a read or a feed states. True if the source has
+   * come back from an older copy since the last one that was known. */
+  bool recordEra(std::optional<std::uint64_t> aEra);
+
   std::uint64_t presetVersion() const { return mPresetVersion; }
   const std::string& presetText() const { return mPresetText; }
   Instant readAt() const { return mReadAt; }
@@ -67,7 +72,8 @@
   MembershipHistory mHistory;
   std::string mPresetText;
   std::uint64_t mPresetVersion = 0;
-  std::uint64_t mReadSequence = 0; ///< of the latest known read by any VM; 0: none
+  std::optional<std::uint64_t> mEra; ///< the highest one known
+  std::uint64_t mReadSequence = 0;   ///< of the latest known read by any VM; 0: none
   Instant mReadAt;
 };
 
--- a/libs/gateway/include/gateway/SourceSnapshot.h
+++ b/libs/gateway/include/gateway/SourceSnapshot.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <decide/Vm.h>
+#include <optional>
 #include <string>
 
 namespace masticwall {
@@ -11,7 +12,9 @@
 {
   std::uint64_t version = 0; ///< of the preset; 0 if there is none yet
   std::string presetText;    ///< the preset in the source's format
-  VmList vms;                ///< upstreams and masticwall VMs
+  /** Rises each time that the source comes back from an older copy; empty: not known. */
+  std::optional<std::uint64_t> era;
+  VmList vms; ///< upstreams and masticwall VMs
 };
 
 } // namespace masticwall
--- a/libs/gateway/src/SourceCache.cpp
+++ b/libs/gateway/src/SourceCache.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <gateway/SourceCache.h>
 #include <random>
+#include <utility>
 
 namespace masticwall {
 
@@ -39,6 +40,7 @@
   feed.readSequence = mReadSequence;
   feed.ageMs =
     static_cast<std::uint64_t>(toMilliseconds(std::min(age(), kAgeBeforeFirstRead)));
+  feed.era = mEra;
   feed.revision = aHave.revision; // the membership is not included yet
   if (aHave.revision == 0 && mSuspectSource != nullptr) {
     feed.suspects = mSuspectSource();
@@ -74,6 +76,15 @@
   mPresetText = std::move(aText);
 }
 
+bool
+SourceCache::recordEra(std::optional<std::uint64_t> aEra)
+{
+  if (!aEra.has_value() || (mEra.has_value() && *aEra <= *mEra)) {
+    return false;
+  }
+  return std::exchange(mEra, aEra).has_value();
+}
+
 void
 SourceCache::recordRead(Instant aTime)
 {
--- a/libs/messages/include/messages/Feed.h
+++ b/libs/messages/include/messages/Feed.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <messages/FeedRequest.h>
 #include <messages/Suspect.h>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -28,6 +29,9 @@
   std::vector<VmKey> removed;   ///< VMs that are no longer listed
   std::vector<SuspectCount> suspects; ///< new ones, or all that a VM which starts needs
 
+  /** The highest era of the source that the sender knows of; see SourceSnapshot::era. */
+  std::optional<std::uint64_t> era;
+
   /** Time since the source was last read; 0 from a control process, which has none. */
   std::uint64_t ageMs = 0;
 
--- a/libs/messages/src/Feed.cpp
+++ b/libs/messages/src/Feed.cpp
@@ -154,6 +154,9 @@
   writer.put(Field::Removed, toArray(aFeed.removed));
   writer.number(Field::AgeMs, aFeed.ageMs);
   writer.number(Field::ReadSequence, aFeed.readSequence);
+  if (aFeed.era.has_value()) {
+    writer.number(Field::Era, *aFeed.era);
+  }
   auto uncompressed = writer.bytes();
   if (uncompressed.size() < kCompressionThresholdBytes) {
     return uncompressed;
@@ -175,6 +178,10 @@
   feed.ageMs = reader.number(Field::AgeMs);
   feed.readSequence = reader.number(Field::ReadSequence);
   feed.isVmsDelta = reader.flag(Field::IsVmsDelta);
+  // Missing in messages of earlier releases.
+  if (const auto era = reader.value(Field::Era); era.isInteger()) {
+    feed.era = static_cast<std::uint64_t>(era.toInteger());
+  }
   for (const auto& it : reader.array(Field::Removed)) {
     BOOST_OUTCOME_TRY(key, toVmKey(it));
     feed.removed.push_back(std::move(key));
--- a/libs/messages/src/Field.h
+++ b/libs/messages/src/Field.h
@@ -64,6 +64,7 @@
   PerSecond = 54,
   Permits = 55, ///< wanted or granted
   NextInMs = 56,
+  Era = 57,
   IsLastResort = 58,
 };
 
--- a/libs/telemetry/include/telemetry/LogEvent.h
+++ b/libs/telemetry/include/telemetry/LogEvent.h
@@ -50,6 +50,8 @@
   SourceUnreachable, ///< the store of VM list and preset can't be read (gateway)
   SourceReachable,   ///< the source can be read again
   SourceChanged,   ///< the VM list from the source or a peer's feed has changed (gateway)
+  SourceRestored,  ///< the source came back from an older copy
+  StoreEraBad,     ///< the source's era is no number; it is ignored
   SourceTakenOver, ///< this VM starts reading the source instead of a peer's feed
   FeedLost,        ///< a request to a peer for its feed failed
   PeerAbsent,      ///< another VM has not replied for a while; its feed is not waited for
@@ -63,7 +65,7 @@
 template<>
 struct EnumTable<LogEvent>
 {
-  static constexpr std::array<EnumName<LogEvent>, 50> kEntries{ {
+  static constexpr std::array<EnumName<LogEvent>, 52> kEntries{ {
     { LogEvent::Started, "started" },
     { LogEvent::Stopped, "stopped" },
     { LogEvent::StopRequested, "stop-requested" },
@@ -106,6 +108,8 @@
     { LogEvent::SourceUnreachable, "source-unreachable" },
     { LogEvent::SourceReachable, "source-reachable" },
     { LogEvent::SourceChanged, "source-changed" },
+    { LogEvent::SourceRestored, "source-restored" },
+    { LogEvent::StoreEraBad, "store-era-bad" },
     { LogEvent::SourceTakenOver, "source-taken-over" },
     { LogEvent::FeedLost, "feed-lost" },
     { LogEvent::PeerAbsent, "peer-absent" },
--- a/tests/standins/StoreService.cpp
+++ b/tests/standins/StoreService.cpp
@@ -21,17 +21,28 @@
   if (mIsHanging && !isOperator) {
     return;
   }
+  auto response =
+    mIsRefusing && !isOperator ? http::Response{ 503, {}, {}, true } : answer(aRequest);
+  const auto era = mEraText.empty() ? std::to_string(mEra) : mEraText;
+  if (era != "none") {
+    response.headers.push_back({ "Store-Era", era });
+  }
+  aResponder->respond(std::move(response));
+}
+
+http::Response
+StoreService::answer(const http::Request& aRequest)
+{
+  const auto path = pathOf(aRequest);
   const auto topic =
     queryOf(aRequest).queryItemValue(QStringLiteral("topic")).toStdString();
-  if (mIsRefusing && !isOperator) {
-    aResponder->respond({ 503, {}, {}, true });
-  } else if (path == QLatin1String("/log-append")) {
-    aResponder->respond(append(topic, aRequest.body));
-  } else if (path == QLatin1String("/log-newest")) {
-    aResponder->respond(newest(topic));
-  } else {
-    aResponder->respond({ 404, {}, {}, true });
+  if (path == QLatin1String("/log-append")) {
+    return append(topic, aRequest.body);
+  }
+  if (path == QLatin1String("/log-newest")) {
+    return newest(topic);
   }
+  return { 404, {}, {}, true };
 }
 
 void
@@ -42,6 +53,13 @@
       mIsHanging = value.toInt() != 0;
     } else if (name == QLatin1String("refuse")) {
       mIsRefusing = value.toInt() != 0;
+    } else if (name == QLatin1String("save")) {
+      mSavedTopics = mTopics;
+    } else if (name == QLatin1String("restore")) {
+      mTopics = mSavedTopics;
+      ++mEra;
+    } else if (name == QLatin1String("era")) {
+      mEraText = value.toStdString();
     }
   }
 }
