Don't take an older copy of the store for newer knowledge

VMs listed since the copy didn't count, so that every share by their number grew.

Cause: what is read later was taken for what was written later.

Ruled out: that versions go back in a process (they only rise).

--- a/libs/decide/src/VmListMerger.cpp
+++ b/libs/decide/src/VmListMerger.cpp
@@ -15,6 +15,9 @@
  */
 constexpr Duration kRetentionTime = std::chrono::milliseconds(1700);
 
+/** Enough for all VMs to list themselves again, without exceeding the source's budget. */
+constexpr Duration kMemberRetentionTime = std::chrono::seconds(12);
+
 /** Finds the entry with the role and name of `aVm`; null if there is none. */
 template<class List>
 auto*
@@ -40,6 +43,19 @@
 
 } // namespace
 
+void
+VmListMerger::onRestored(Instant aNow)
+{
+  mRetainUntil = aNow + kRetentionTime;
+  mRetainMembersUntil = aNow + kMemberRetentionTime;
+}
+
+bool
+VmListMerger::mustRetain(const Vm& aVm, Instant aNow) const
+{
+  return aNow < (aVm.role == VmRole::Upstream ? mRetainUntil : mRetainMembersUntil);
+}
+
 VmList
 VmListMerger::mergeFromSource(const VmList& aKnown,
                               VmList aRead,
@@ -51,8 +67,7 @@
   }
   propagateLeaving(aKnown, aRead);
   for (const auto& it : aKnown) {
-    const bool isMissing = it.role == VmRole::Upstream && findEntry(aRead, it) == nullptr;
-    if (isMissing && aNow < mRetainUntil) {
+    if (mustRetain(it, aNow) && findEntry(aRead, it) == nullptr) {
       aRead.push_back(it);
       aRead.back().isRetained = true;
     }
@@ -64,14 +79,15 @@
 VmListMerger::mergeFromPeer(const VmList& aKnown,
                             VmList aReceived,
                             Instant aLastReadAt,
-                            Instant aNow)
+                            Instant aNow) const
 {
   const bool wasUnreachable = aNow - aLastReadAt > kOutageThreshold;
   if (!aKnown.empty()) {
     std::erase_if(aReceived, [&](const Vm& aVm) {
       const auto* const known = findEntry(aKnown, aVm);
       const bool isSameInstance = known != nullptr && known->instance == aVm.instance;
-      return aVm.isRetained && !(isSameInstance && (wasUnreachable || known->isRetained));
+      const bool mayRetain = wasUnreachable || mustRetain(aVm, aNow);
+      return aVm.isRetained && !(isSameInstance && (mayRetain || known->isRetained));
     });
   }
   propagateLeaving(aKnown, aReceived);
--- a/libs/decide/tests/VmListMergerTest.cpp
+++ b/libs/decide/tests/VmListMergerTest.cpp
@@ -29,6 +29,25 @@
 
 } // namespace
 
+TEST_CASE("in a new era missing upstreams and masticwall VMs are retained")
+{
+  test::ManualClock time;
+  VmListMerger merger;
+  VmList known{ upstream("a"), upstream("front-1") };
+  known[1].role = VmRole::Masticwall;
+  const auto recently = time.now() - 600ms;
+  CHECK(merger.mergeFromSource(known, {}, recently, time.now()).empty());
+  merger.onRestored(time.now());
+  const auto merged = merger.mergeFromSource(known, {}, recently, time.now());
+  REQUIRE(merged.size() == 2);
+  CHECK(merged[0].isRetained);
+  CHECK(merger.mergeFromPeer(known, merged, recently, time.now()).size() == 2);
+  time.advance(2s);
+  CHECK(merger.mergeFromSource(known, {}, time.now() - 600ms, time.now()).size() == 1);
+  time.advance(11s);
+  CHECK(merger.mergeFromSource(known, {}, time.now() - 600ms, time.now()).empty());
+}
+
 TEST_CASE(
   "without an outage, an upstream that the source no longer lists is removed at once")
 {
@@ -83,9 +102,9 @@
   const VmList known{ upstream("a"), upstream("retained") };
   const test::ManualClock time;
   const auto beforeOutage = time.now() - 5s;
-  CHECK(namesOf(VmListMerger::mergeFromPeer(known, received, beforeOutage, time.now())) ==
-        Names{ "a", "retained" });
-  CHECK(namesOf(VmListMerger::mergeFromPeer({}, received, beforeOutage, time.now())) ==
+  CHECK(namesOf(VmListMerger().mergeFromPeer(
+          known, received, beforeOutage, time.now())) == Names{ "a", "retained" });
+  CHECK(namesOf(VmListMerger().mergeFromPeer({}, received, beforeOutage, time.now())) ==
         Names{ "a", "terminated", "retained" });
 }
 
@@ -99,11 +118,11 @@
   received[1].isRetained = true;
   VmList known{ upstream("a"), upstream("terminated") };
   const auto recently = time.now() - 600ms;
-  CHECK(namesOf(VmListMerger::mergeFromPeer(known, received, recently, time.now())) ==
+  CHECK(namesOf(VmListMerger().mergeFromPeer(known, received, recently, time.now())) ==
         Names{ "a" });
   // Both VMs lost the source, and this one retains the entry already.
   known[1].isRetained = true;
-  CHECK(namesOf(VmListMerger::mergeFromPeer(known, received, recently, time.now())) ==
+  CHECK(namesOf(VmListMerger().mergeFromPeer(known, received, recently, time.now())) ==
         Names{ "a", "terminated" });
 }
 
@@ -112,7 +131,7 @@
   VmList known{ upstream("a") };
   known[0].leaving = true;
   const test::ManualClock time;
-  const auto list =
-    VmListMerger::mergeFromPeer(known, { upstream("a") }, time.now() - 600ms, time.now());
+  const auto list = VmListMerger().mergeFromPeer(
+    known, { upstream("a") }, time.now() - 600ms, time.now());
   CHECK(list[0].leaving);
 }
--- a/libs/gateway/include/gateway/ConfigSync.h
+++ b/libs/gateway/include/gateway/ConfigSync.h
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <decide/FeedCursor.h>
 #include <decide/FeedTreePosition.h>
+#include <decide/GoneInstances.h>
 #include <decide/MemberSweep.h>
 #include <decide/PeerReachability.h>
 #include <decide/VmListMerger.h>
@@ -65,6 +66,9 @@
   /** Replies to another VM's feed request; see FeedServer::serve(). */
   void serve(const FeedRequest& aHave, PeerServer::ReplyCallback aReply)
   {
+    if (aHave.version > std::max(mCache.presetVersion(), mRejectedVersion)) {
+      catchUp();
+    }
     mFeedServer.serve(aHave, std::move(aReply));
   }
 
@@ -129,7 +133,13 @@
   void updateTreePosition();
   void requestFeed(const Vm& aVm, const FeedRequest& aHave, PeerClient::Callback aDone);
 
-  /** Logs that the source has come back from an older copy, if the era says so. */
+  /**
+   * Asks another VM for its preset, which may be newer than what the source has: it may
+   * have come back from an older copy before this VM started.
+   */
+  void catchUp();
+
+  /** Adapts to a source that has come back from an older copy, if the era says so. */
   void recordEra(std::optional<std::uint64_t> aEra);
 
   // Members
@@ -183,8 +193,10 @@
   Instant mAnnouncedAt;
   TimerHandle mSweepTimer;
   VmListMerger mMerger;
-  Instant mLastReplyAt;                  ///< of another VM
-  FeedCursor mCursor;                    ///< position in the feed of the polled peer
+  GoneInstances mGoneInstances;
+  Instant mLastReplyAt; ///< of another VM
+  Instant mRestoredAt; ///< when the source came back from an older copy; Instant{}: never
+  FeedCursor mCursor;  ///< position in the feed of the polled peer
   std::optional<std::size_t> mPeerIndex; ///< polled peer, in the feed candidates
 
   /** Incremented when polling of a peer ends; replies to older requests are ignored. */
@@ -198,6 +210,7 @@
   TimerHandle mSearchTimer;
   TimerHandle mTakeOverTimer;
   TimerHandle mAnnounceTimer;
+  TimerHandle mCatchUpTimer;
   std::mt19937_64 mRandom{ std::random_device()() };
 };
 
--- a/libs/gateway/include/gateway/ConfigSyncFeeds.h
+++ b/libs/gateway/include/gateway/ConfigSyncFeeds.h
@@ -112,10 +112,10 @@
   mCache.recordRead(readAt);
   const auto known = mTables.membership.current();
   if (!aFeed.isVmsDelta) {
-    applyVms(VmListMerger::mergeFromPeer(known, aFeed.vms, lastRead, now));
+    applyVms(mMerger.mergeFromPeer(known, aFeed.vms, lastRead, now));
   } else if (!aFeed.vms.empty() || !aFeed.removed.empty()) {
     auto list = apply({ aFeed.vms, aFeed.removed }, known);
-    applyVms(VmListMerger::mergeFromPeer(known, std::move(list), lastRead, now));
+    applyVms(mMerger.mergeFromPeer(known, std::move(list), lastRead, now));
   }
   mFeedServer.onChange();
 }
@@ -127,12 +127,42 @@
   if (!mCache.recordEra(aEra)) {
     return;
   }
+  mRestoredAt = mTimers.now();
+  mMerger.onRestored(mRestoredAt);
+  mGoneInstances.onRestored(mRestoredAt);
   logEvent(LogEvent::SourceRestored,
            { { "era", *aEra },
              { "version", mCache.presetVersion() },
              { "age_ms", toMilliseconds(mCache.age()) } });
 }
 
+template<ConfigSource S>
+void
+ConfigSync<S>::catchUp()
+{
+  const auto others = otherMembers();
+  if (others.empty() || mCatchUpTimer.isActive()) {
+    return;
+  }
+  mCatchUpTimer = mTimers.scheduleAfter(kCatchUpPeriod, [] {});
+  std::uniform_int_distribution<std::size_t> index(0, others.size() - 1);
+  requestFeed(others[index(mRandom)],
+              { .version = mCache.presetVersion() },
+              [this](const Result<QByteArray>& aReply) {
+                const auto feed = aReply.has_value() ? decodeFeed(aReply.value())
+                                                     : Result<Feed>(aReply.error());
+                if (feed.has_error()) {
+                  return; // asked again while others have a newer version
+                }
+                const auto& sections = feed.value().sections;
+                const auto text = sections.find(kWholePresetSection);
+                if (text != sections.end()) {
+                  applyPreset(feed.value().version, text->second);
+                  mFeedServer.onChange();
+                }
+              });
+}
+
 template<ConfigSource S>
 void
 ConfigSync<S>::searchPeers()
--- a/libs/gateway/include/gateway/ConfigSyncMembers.h
+++ b/libs/gateway/include/gateway/ConfigSyncMembers.h
@@ -23,11 +23,17 @@
 ConfigSync<S>::announceIfMissing(const VmList& aVms)
 {
   const bool isListed = std::any_of(aVms.begin(), aVms.end(), [this](const Vm& aVm) {
-    return aVm.role == VmRole::Masticwall && aVm.name == mOwnVm.name;
+    return aVm.role == VmRole::Masticwall && aVm.name == mOwnVm.name && !aVm.isRetained;
   });
   if (isListed || mAnnounceTimer.isActive()) {
     return;
   }
+  if (mAnnouncedAt < mRestoredAt) {
+    // Many VMs may be missing in the older copy.
+    const auto spread = kAnnounceSpreadPerVm * static_cast<int>(aVms.size());
+    mAnnounceTimer = mTimers.scheduleAfter(withJitter(spread), [this] { announce(); });
+    return;
+  }
   if (mTimers.now() - mAnnouncedAt < kMaxAnnounceTime) {
     mAnnounceTimer = mTimers.scheduleAfter(
       kMaxAnnounceTime, [this] { announceIfMissing(mTables.membership.current()); });
--- a/libs/gateway/include/gateway/ConfigSyncReading.h
+++ b/libs/gateway/include/gateway/ConfigSyncReading.h
@@ -114,6 +114,7 @@
       logEvent(LogEvent::SourceReachable, { { "age_ms", toMilliseconds(mCache.age()) } });
     }
     const auto& snapshot = aSnapshot.value();
+    const bool isFirst = mCache.isEmpty();
     recordEra(snapshot.era);
     auto vms = mMerger.mergeFromSource(mTables.membership.current(),
                                        snapshot.vms,
@@ -123,6 +124,9 @@
     applyPreset(snapshot.version, snapshot.presetText);
     applyVms(std::move(vms));
     mFeedServer.onChange();
+    if (isFirst) {
+      catchUp();
+    }
   }
   scheduleSweep();
   scheduleRead();
@@ -192,10 +196,14 @@
 void
 ConfigSync<S>::applyVms(VmList aVms)
 {
+  const auto now = mTimers.now();
+  mGoneInstances.removeStale(aVms, now);
   std::sort(aVms.begin(), aVms.end(), [](const Vm& aLeft, const Vm& aRight) {
     return keyOf(aLeft) < keyOf(aRight);
   });
+  const auto before = mTables.membership.current();
   if (mTables.membership.putList(aVms)) {
+    mGoneInstances.onListChange(before, aVms, now);
     logEvent(LogEvent::SourceChanged,
              { { "vms", aVms.size() }, { "age_ms", toMilliseconds(mCache.age()) } });
     mCache.putVms(aVms);
--- a/libs/gateway/include/gateway/ConfigSyncTimings.h
+++ b/libs/gateway/include/gateway/ConfigSyncTimings.h
@@ -72,6 +72,12 @@
 /** Delay after a failed attempt to add this VM to the list at the source. */
 inline constexpr Duration kAnnounceRetryDelay = std::chrono::seconds(3);
 
+/** When many VMs list themselves again at the same time: 200 of them in a second. */
+inline constexpr Duration kAnnounceSpreadPerVm = std::chrono::milliseconds(5);
+
+/** At most one VM is asked for a newer preset in this time. */
+inline constexpr Duration kCatchUpPeriod = std::chrono::milliseconds(250);
+
 /** After this VM has added itself to the list, until the list that it knows must have it:
  * not every read of the source includes the list. */
 inline constexpr Duration kMaxAnnounceTime = std::chrono::seconds(6);
