Send no call that can't end before a planned stop does

What callers saw: requests that came late in a planned stop were passed on and cut at its end, with no answer; orders among them had run.

Cause: the drain bounded the time to connect, not that of the requests on open connections; each went on with its own deadline, beyond the end of the process.

Change: DrainSchedule. After the notice period no call is sent whose deadline lies beyond the end, and no such order at any time of the drain: 503, not run, while another VM can run it. What is left at the end is answered, as not run or unknown, before the process ends with 3 as before.

Measured: LateInDrainTest failed before (a connection ended without an answer), passes now; ShutdownTest passes.

--- a/libs/core/include/core/CallError.h
+++ b/libs/core/include/core/CallError.h
@@ -25,7 +25,7 @@
   HeldOff,          ///< every upstream leaves or wants no requests for a time
   Limited,          ///< no upstream takes more requests for now: request limits
   ClaimUnavailable, ///< the shared log could not be read or written in time
-  Leaving,          ///< this process is shutting down; currently unused
+  Leaving,          ///< this process is shutting down, before the call could end
   Suspect,          ///< blocked: upstreams crashed while they ran this request
   UpstreamShed,     ///< upstreams rejected the call without running it
   UpstreamFailed,   ///< an attempt failed, and the call may have run
--- a/libs/entry/include/entry/EntryTables.h
+++ b/libs/entry/include/entry/EntryTables.h
@@ -2,9 +2,11 @@
 
 #include <atomic>
 #include <core/Bytes.h>
+#include <decide/DrainSchedule.h>
 #include <entry/WorkerGauges.h>
 #include <http/ByteBudget.h>
 #include <http/Response.h>
+#include <optional>
 #include <settings/EntrySettings.h>
 #include <tables/AdmissionTable.h>
 #include <tables/MembershipTable.h>
@@ -60,6 +62,20 @@
   std::atomic<int> entryCount{ 1 };
   std::atomic<int> upstreamCount{ 0 };  ///< listed upstreams
   std::atomic<bool> isLeaving{ false }; ///< this process is draining
+
+  /** When that began, since the clock's epoch; 0: it has not. Set before isLeaving. */
+  std::atomic<Duration::rep> drainStartedAt{ 0 };
+
+  /** Empty unless this process is draining. */
+  std::optional<DrainSchedule> drainSchedule() const
+  {
+    if (!isLeaving) {
+      return std::nullopt;
+    }
+    const Instant startedAt{ Duration(drainStartedAt) };
+    return DrainSchedule{ startedAt + settings.noticePeriod,
+                          startedAt + settings.maxDrainTime };
+  }
 };
 
 using OrderView = OrderTable<http::Response>::View;
--- a/libs/entry/src/EntryProcess.cpp
+++ b/libs/entry/src/EntryProcess.cpp
@@ -20,6 +20,9 @@
 constexpr Duration kMaxIdleWhileDraining = std::chrono::milliseconds(500);
 constexpr int kExitCodeDrainTimeout = 3;
 
+/** For the responses to calls that are left at the end of the drain. */
+constexpr Duration kLastResponsesTime = std::chrono::milliseconds(100);
+
 std::uint64_t
 makeIncarnation()
 {
@@ -68,6 +71,9 @@
   void startDrain();
   void stopAccepting();
   void checkDrained();
+
+  /** The drain has taken too long: tells the remaining callers, and ends. */
+  void endRemainingCalls();
   void end(int aExitCode);
   void postToEachWorker(const std::function<void(EntryWorker&)>& aTask);
 
@@ -182,9 +188,11 @@
 void
 EntryProcess::Impl::startDrain()
 {
-  if (tables.isLeaving.exchange(true)) {
+  if (tables.isLeaving) {
     return;
   }
+  tables.drainStartedAt = timers.now().time_since_epoch().count();
+  tables.isLeaving = true;
   const auto& settings = tables.settings;
   logEvent(LogEvent::StopRequested,
            { { "notice_ms", toMilliseconds(settings.noticePeriod) } });
@@ -194,7 +202,7 @@
   postToEachWorker([](EntryWorker& aWorker) { aWorker.beginDrain(); });
   noticeTimer = timers.scheduleAfter(settings.noticePeriod, [this] { stopAccepting(); });
   longestDrainTimer =
-    timers.scheduleAfter(settings.maxDrainTime, [this] { end(kExitCodeDrainTimeout); });
+    timers.scheduleAfter(settings.maxDrainTime, [this] { endRemainingCalls(); });
 }
 
 void
@@ -227,6 +235,15 @@
   }
 }
 
+void
+EntryProcess::Impl::endRemainingCalls()
+{
+  drainTimer.cancel();
+  postToEachWorker([](EntryWorker& aWorker) { aWorker.endAllCalls(); });
+  longestDrainTimer =
+    timers.scheduleAfter(kLastResponsesTime, [this] { end(kExitCodeDrainTimeout); });
+}
+
 void
 EntryProcess::Impl::end(int aExitCode)
 {
--- a/libs/entry/src/EntryWorker.cpp
+++ b/libs/entry/src/EntryWorker.cpp
@@ -125,6 +125,36 @@
   mListener->closeIdle(aIdleFor);
 }
 
+void
+EntryWorker::endAllCalls()
+{
+  std::vector<std::uint64_t> ids;
+  ids.reserve(mCalls.size());
+  for (const auto& [id, call] : mCalls) {
+    ids.push_back(id);
+  }
+  for (const auto id : ids) {
+    auto* const call = findCall(id);
+    if (call == nullptr || call->stage == CallStage::Settling) {
+      continue;
+    }
+    if (call->stage == CallStage::Sending) {
+      mUpstreamConnections.cancel(call->exchange);
+      call->mayHaveRun = true;
+    }
+    const bool isRunElsewhere = call->stage == CallStage::AwaitingOrder;
+    endWithError(*call, isRunElsewhere ? CallError::OrderUnsettled : CallError::Leaving);
+  }
+}
+
+bool
+EntryWorker::isInTimeForDrain(const Call& aCall) const
+{
+  const auto schedule = mTables.drainSchedule();
+  return !schedule.has_value() ||
+         schedule->maySend(aCall.deadline, aCall.isOrder(), mTimers.now());
+}
+
 bool
 EntryWorker::isDrained() const
 {
--- a/libs/entry/src/EntryWorker.h
+++ b/libs/entry/src/EntryWorker.h
@@ -58,12 +58,18 @@
   /** Closes callers' connections that have been idle for at least `aIdleFor`. */
   void closeIdle(Duration aIdleFor);
 
+  /** Ends all calls: as not run, or with an unknown outcome if they were sent. */
+  void endAllCalls();
+
   /** True if no calls and no callers' connections are left. */
   bool isDrained() const;
 
 private:
   EntryWorker(WorkerContext& aContext, std::uint32_t aIndex);
 
+  /** Whether the call may be sent to an upstream, as far as a drain is concerned. */
+  bool isInTimeForDrain(const Call& aCall) const;
+
   // Arrival
   void onRequest(http::Request aRequest, http::ResponderPtr aResponder);
 
--- a/libs/entry/src/EntryWorkerArrival.cpp
+++ b/libs/entry/src/EntryWorkerArrival.cpp
@@ -95,6 +95,10 @@
   aCall.responder->onDisconnect([this, id] { onCallerGone(id); });
   aCall.deadlineTimer =
     mTimers.scheduleAt(aCall.deadline, [this, id] { onDeadline(id); });
+  if (!isInTimeForDrain(aCall)) {
+    endWithError(aCall, CallError::Leaving);
+    return;
+  }
   if (aCall.isOrder() || !mTables.suspects.isEmpty()) {
     aCall.fingerprint = requestDigest(aCall.request, aCall.metadata.host);
     const auto now = mTimers.now();
--- a/libs/entry/src/EntryWorkerSending.cpp
+++ b/libs/entry/src/EntryWorkerSending.cpp
@@ -48,6 +48,10 @@
     endWithError(aCall, CallError::QueueTimeout);
     return;
   }
+  if (!isInTimeForDrain(aCall)) {
+    endWithError(aCall, CallError::Leaving);
+    return;
+  }
   const auto chosen = mTables.upstreams.choose(upstreamQueryFor(aCall), now);
   if (chosen.has_error()) {
     const bool hasNothingToReport =
