Ask other VMs for the version of their preset before the preset itself

Cause: a VM that has read the store for the first time took a whole feed from another VM, mostly in another zone. After a loss of power all VMs do so.

Change: it asks for the version first, and for the preset only if that is newer.

--- a/libs/gateway/include/gateway/ConfigSync.h
+++ b/libs/gateway/include/gateway/ConfigSync.h
@@ -138,6 +138,7 @@
    * have come back from an older copy before this VM started.
    */
   void catchUp();
+  void fetchPreset(const Vm& aVm);
 
   /** Adapts to a source that has come back from an older copy, if the era says so. */
   void recordEra(std::optional<std::uint64_t> aEra);
--- a/libs/gateway/include/gateway/ConfigSyncFeeds.h
+++ b/libs/gateway/include/gateway/ConfigSyncFeeds.h
@@ -146,21 +146,35 @@
   }
   mCatchUpTimer = mTimers.scheduleAfter(kCatchUpPeriod, [] {});
   std::uniform_int_distribution<std::size_t> index(0, others.size() - 1);
-  requestFeed(others[index(mRandom)],
-              { .version = mCache.presetVersion() },
-              [this](const Result<QByteArray>& aReply) {
-                const auto feed = aReply.has_value() ? decodeFeed(aReply.value())
-                                                     : Result<Feed>(aReply.error());
-                if (feed.has_error()) {
-                  return; // asked again while others have a newer version
-                }
-                const auto& sections = feed.value().sections;
-                const auto text = sections.find(kWholePresetSection);
-                if (text != sections.end()) {
-                  applyPreset(feed.value().version, text->second);
-                  mFeedServer.onChange();
-                }
-              });
+  const auto& vm = others[index(mRandom)];
+  // Only the version: a whole feed is large.
+  requestFeed(vm, { .mayWait = false }, [this, vm](const Result<QByteArray>& aReply) {
+    const auto feed =
+      aReply.has_value() ? decodeFeed(aReply.value()) : Result<Feed>(aReply.error());
+    if (feed.has_value() && feed.value().version > mCache.presetVersion()) {
+      fetchPreset(vm);
+    }
+  });
+}
+
+template<ConfigSource S>
+void
+ConfigSync<S>::fetchPreset(const Vm& aVm)
+{
+  const FeedRequest have{ .version = mCache.presetVersion() };
+  requestFeed(aVm, have, [this](const Result<QByteArray>& aReply) {
+    const auto feed =
+      aReply.has_value() ? decodeFeed(aReply.value()) : Result<Feed>(aReply.error());
+    if (feed.has_error()) {
+      return; // asked again while others have a newer version
+    }
+    const auto& sections = feed.value().sections;
+    const auto text = sections.find(kWholePresetSection);
+    if (text != sections.end()) {
+      applyPreset(feed.value().version, text->second);
+      mFeedServer.onChange();
+    }
+  });
 }
 
 template<ConfigSource S>
