Ask for permits again when a reply is lost

Cause, by reading: if the VM that was asked is taken off the list meanwhile, its client is destroyed without calling back. All later calls of that worker for that upstream would wait for the same reply.

Change: a request for permits counts as lost after 600 ms, longer than both issuers take to time out; the calls that wait for it ask again.

Measured: LimitTest has a case with silent VMs that come and go; it passed both without and with the change (one run each), so the fault is not reproduced, only its cause removed.

--- a/libs/entry/src/EntryWorker.h
+++ b/libs/entry/src/EntryWorker.h
@@ -153,6 +153,10 @@
   Duration timeUntilAvailable(const Call& aCall) const;
 
   // Permits of upstreams with a request limit
+  /** A request for permits is lost if the reply takes longer: the VM that was asked may
+   * have been taken off the list meanwhile. */
+  static constexpr Duration kMaxPermitWait = std::chrono::milliseconds(600);
+
   /** Requests a permit for the call, or waits for the request that is in progress. */
   void requestPermit(const Call& aCall, const PermitCandidate& aCandidate);
 
@@ -218,6 +222,7 @@
   struct PermitWait
   {
     std::vector<LoadQueryId> waiting; ///< empty: no request is in progress
+    Instant requestedAt;              ///< a request is lost if it takes too long
     int wanted = 1;                   ///< permits, for the next request
   };
   std::map<std::pair<std::string, std::string>, PermitWait>
--- a/libs/entry/src/EntryWorkerLoadQueries.cpp
+++ b/libs/entry/src/EntryWorkerLoadQueries.cpp
@@ -55,10 +55,8 @@
   aCall.stage = CallStage::QueryingLoads;
   aCall.pendingLoadQueries = stale.size() + (wantsPermit ? 1 : 0);
   const auto id = aCall.id;
-  if (!mustWait) {
-    aCall.loadQueryTimer =
-      mTimers.scheduleAfter(kMaxLoadQueryWait, [this, id] { finishLoadQueries(id); });
-  }
+  aCall.loadQueryTimer = mTimers.scheduleAfter(
+    mustWait ? kMaxPermitWait : kMaxLoadQueryWait, [this, id] { finishLoadQueries(id); });
   if (wantsPermit) {
     requestPermit(aCall, *permit);
   }
--- a/libs/entry/src/EntryWorkerPermits.cpp
+++ b/libs/entry/src/EntryWorkerPermits.cpp
@@ -18,14 +18,16 @@
 {
   const auto& upstream = aCandidate.address;
   auto& wait = mPermitWaits[{ upstream.name, upstream.instance }];
+  const auto now = mTimers.now();
   wait.waiting.push_back({ aCall.id, aCall.attempts, aCall.loadQueryRounds });
-  if (wait.waiting.size() > 1) {
+  if (wait.waiting.size() > 1 && now - wait.requestedAt < kMaxPermitWait) {
     return;
   }
+  wait.requestedAt = now;
   const PermitRequest request{ upstream.name,
                                upstream.instance,
                                aCandidate.limit.perSecond,
-                               mTimers.now() - aCandidate.limit.statedAt,
+                               now - aCandidate.limit.statedAt,
                                aCall.route->rank,
                                std::exchange(wait.wanted, 1),
                                !aCandidate.hasAlternative };
--- a/tests/integration/LimitTest.cpp
+++ b/tests/integration/LimitTest.cpp
@@ -1,5 +1,6 @@
 #include "GatewaySystem.h"
 #include "Wait.h"
+#include <QTcpServer>
 #include <QUrl>
 #include <catch2/catch.hpp>
 #include <csignal>
@@ -110,6 +111,30 @@
   aSystem.setUpstream(aUpstream, "server_limit=" + aText);
 }
 
+constexpr quint16 kPeerPort = 8382;
+
+/** Lists VMs that accept connections and never reply, or takes them off the list. */
+void
+listSilentVms(GatewaySystem& aSystem, int aVms, bool aIsListed)
+{
+  for (int i = 0; i < aVms; ++i) {
+    const auto host = aSystem.host(200 + i).toString().toStdString();
+    aSystem.writeRecord(
+      "keyed.members",
+      "silent-" + std::to_string(i),
+      aIsListed ? R"({"host":")" + host + R"(","port":)" + std::to_string(kPeerPort) +
+                    R"(,"data_centre":"recife","region":"litoral","capacity":1})"
+                : "");
+  }
+}
+
+bool
+countsEntries(GatewaySystem& aSystem, int aEntries)
+{
+  const auto text = "masticwall_entries " + std::to_string(aEntries) + '\n';
+  return aSystem.metrics(0).find(text) != std::string::npos;
+}
+
 } // namespace
 
 TEST_CASE("an upstream gets no more requests than it takes from all VMs together")
@@ -180,6 +205,32 @@
   CHECK(requests.max() <= kMaxInWindow);
 }
 
+TEST_CASE("calls go on after VMs that did not reply are taken off the list")
+{
+  constexpr int kSilentVms = 6;
+  constexpr int kRounds = 4;
+  GatewaySystem system(1, 1);
+  REQUIRE(system.start());
+  std::vector<std::unique_ptr<QTcpServer>> silent;
+  for (int i = 0; i < kSilentVms; ++i) {
+    silent.push_back(std::make_unique<QTcpServer>());
+    REQUIRE(silent.back()->listen(system.host(200 + i), kPeerPort));
+  }
+  setLimit(system, 0, "50");
+  for (int round = 0; round < kRounds; ++round) {
+    CAPTURE(round);
+    listSilentVms(system, kSilentVms, true);
+    REQUIRE(waitUntil([&] { return countsEntries(system, kSilentVms + 1); }));
+    listSilentVms(system, kSilentVms, false);
+    REQUIRE(waitUntil([&] {
+      sendLookups(system, { 0 }, std::chrono::milliseconds(50));
+      return countsEntries(system, 1);
+    }));
+    CHECK(waitUntil(
+      [&] { return statusOf(system.call(0, "GET", "/read/1", "on")) == 200; }, 1500));
+  }
+}
+
 TEST_CASE("an upstream whose limit has ended gets requests as before")
 {
   GatewaySystem system(2, 1);
