Reject responses whose status is none, and make them impossible to write

Cause: Beast takes any three digits for a status, and nothing after it asked which. Readers that look for "< 300" or ">= 500" then file it somewhere. isInterim() asked for the classes of known codes only, so that 150 was no interim response but a final one without a body. The serializer wrote whatever it was given and took all below 200 for statuses without a body. The same cause in a second reader of answers: the status in another process's order report was not checked.

Ruled out: the id and signature were right, so that the dialect's check of them can't help; the caller's side did not alter the status (the bytes were read raw).

Change: http::Status, the status of a final response (200 to 599), is the type of Response::status. Constants out of range don't compile; numbers from outside go through fromCode(), in ResponseParser (all that the pool reads: calls, load queries, probes, the store) and in order reports. 1xx is told by its number. A broken response ends as any malformed one.

Why it works: no reader gets a Response but through a parser that has checked its status, and no other status has a value that could be stored or written.

--- a/libs/entry/include/entry/OutcomeStatus.h
+++ b/libs/entry/include/entry/OutcomeStatus.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <core/CallError.h>
+#include <http/Status.h>
 
 namespace masticwall {
 
@@ -8,7 +9,7 @@
  * caller may retry it. */
 struct OutcomeStatus
 {
-  int status = 500;
+  http::Status status = 500;
   bool mayRetry = false; ///< Retry-After is sent if the call was not run
 };
 
--- a/libs/entry/src/EntryWorkerArrival.cpp
+++ b/libs/entry/src/EntryWorkerArrival.cpp
@@ -79,8 +79,8 @@
 void
 EntryWorker::respondToHealthCheck(const http::ResponderPtr& aResponder) const
 {
-  constexpr int kOk = 200;
-  constexpr int kServiceUnavailable = 503;
+  constexpr http::Status kOk = 200;
+  constexpr http::Status kServiceUnavailable = 503;
   http::Response response;
   const bool isReady = mTables.presets.current() != nullptr && !mTables.isLeaving;
   response.status = isReady ? kOk : kServiceUnavailable;
--- a/libs/entry/src/OutcomeEncoding.cpp
+++ b/libs/entry/src/OutcomeEncoding.cpp
@@ -1,6 +1,6 @@
 #include "OutcomeEncoding.h"
 #include <entry/OutcomeStatus.h>
-#include <http/HttpError.h>
+#include <http/HttpErrorStatus.h>
 #include <messages/HeaderNames.h>
 
 namespace masticwall {
@@ -8,7 +8,7 @@
 namespace {
 
 http::Response
-makeResponse(int aStatus, Outcome aOutcome, std::string_view aReason)
+makeResponse(http::Status aStatus, Outcome aOutcome, std::string_view aReason)
 {
   http::Response response;
   response.status = aStatus;
--- a/libs/http/include/http/Response.h
+++ b/libs/http/include/http/Response.h
@@ -2,6 +2,7 @@
 
 #include <core/Time.h>
 #include <http/Header.h>
+#include <http/Status.h>
 #include <optional>
 
 namespace masticwall::http {
@@ -9,7 +10,7 @@
 /** A complete response. `headers` has no hop-by-hop fields or Content-Length. */
 struct Response
 {
-  int status = 200;
+  Status status = 200;
   HeaderList headers;
   std::string body;
   bool keepAlive = true; ///< the connection stays open after the response
--- a/libs/http/src/ResponseParser.cpp
+++ b/libs/http/src/ResponseParser.cpp
@@ -60,10 +60,12 @@
 
   bool isInterim() const
   {
-    return beast::to_status_class(parser->get().result()) ==
-           beast::status_class::informational;
+    const auto code = parser->get().result_int();
+    return code >= 100 && code < 200;
   }
 
+  Result<Status> status() const { return Status::fromCode(parser->get().result_int()); }
+
   bool isCloseDelimited() const
   {
     const auto& message = parser->get();
@@ -75,9 +77,9 @@
 
   Response releaseResponse()
   {
-    auto message = parser->release();
     Response response;
-    response.status = static_cast<int>(message.result_int());
+    response.status = status().value();
+    auto message = parser->release();
     response.headers = endToEndHeaders(message);
     response.keepAlive = message.keep_alive();
     response.keepAliveTimeout =
@@ -110,7 +112,7 @@
     const auto size = aBytes.size();
     const auto ec = feedParser(*mImpl->parser, aBytes);
     if (ec) {
-      return toHttpError(ec);
+      return ec == beast::error::bad_status ? HttpError::BadStatus : toHttpError(ec);
     }
     mImpl->bytesParsed += static_cast<std::uint64_t>(size - aBytes.size());
     if (mImpl->bytesParsed > mImpl->maxBytes()) {
@@ -129,6 +131,9 @@
       mImpl->reset();
       continue;
     }
+    if (const auto status = mImpl->status(); status.has_error()) {
+      return status.error();
+    }
     if (!mImpl->mayBeCloseDelimited && mImpl->isCloseDelimited()) {
       return HttpError::Unframed;
     }
--- a/libs/http/src/Serializer.cpp
+++ b/libs/http/src/Serializer.cpp
@@ -23,9 +23,9 @@
 }
 
 bool
-hasNoBody(int aStatus)
+hasNoBody(Status aStatus)
 {
-  return aStatus == 204 || aStatus == 304 || aStatus < 200;
+  return aStatus == 204 || aStatus == 304;
 }
 
 // The body is copied once, into the result.
--- /dev/null
+++ b/libs/http/tests/ResponseParserTest.cpp
@@ -0,0 +1,119 @@
+#include <catch2/catch.hpp>
+#include <http/ResponseParser.h>
+#include <vector>
+
+using namespace masticwall;
+using namespace masticwall::http;
+
+// What is accepted of a response and what is not, by RFC 9110 (15) and RFC 9112 (4 to 7).
+
+namespace {
+
+constexpr MessageLimits kLimits{ 4096, 4096 };
+
+/** Feeds the bytes whole, or one by one; both must come to the same. */
+Result<std::optional<Response>>
+parse(const QByteArray& aBytes, qsizetype aStep)
+{
+  ResponseParser parser(kLimits, false, true);
+  QByteArray buf;
+  Result<std::optional<Response>> result = std::optional<Response>();
+  for (qsizetype at = 0; at < aBytes.size(); at += aStep) {
+    buf += aBytes.mid(at, aStep);
+    result = parser.feed(buf);
+    if (result.has_error() || result.value().has_value()) {
+      return result;
+    }
+  }
+  return result;
+}
+
+struct Rejected
+{
+  QByteArray bytes;
+  HttpError error;
+};
+
+void
+checkRejected(const std::vector<Rejected>& aCases)
+{
+  for (const auto& it : aCases) {
+    for (const auto step : { it.bytes.size(), qsizetype{ 1 } }) {
+      CAPTURE(it.bytes.toStdString(), step);
+      const auto result = parse(it.bytes, step);
+      REQUIRE(result.has_error());
+      CHECK(result.error() == it.error);
+    }
+  }
+}
+
+struct Accepted
+{
+  QByteArray bytes;
+  int status;
+  std::string body;
+  HeaderList headers;
+};
+
+void
+checkAccepted(const std::vector<Accepted>& aCases)
+{
+  for (const auto& it : aCases) {
+    for (const auto step : { it.bytes.size(), qsizetype{ 1 } }) {
+      CAPTURE(it.bytes.toStdString(), step);
+      const auto result = parse(it.bytes, step);
+      REQUIRE(result.has_value());
+      REQUIRE(result.value().has_value());
+      const auto& response = *result.value();
+      CHECK(response.status == it.status);
+      CHECK(response.body == it.body);
+      REQUIRE(response.headers.size() == it.headers.size());
+      for (std::size_t i = 0; i < it.headers.size(); ++i) {
+        CHECK(response.headers[i].name == it.headers[i].name);
+        CHECK(response.headers[i].value == it.headers[i].value);
+      }
+    }
+  }
+}
+
+const QByteArray kOk = "HTTP/1.1 200 OK\r\n";
+const QByteArray kEmpty = "Content-Length: 0\r\n\r\n";
+
+} // namespace
+
+TEST_CASE("a status line is rejected unless it has a known version and a final status")
+{
+  checkRejected({
+    { "HTTP/1.1 000 Odd\r\n" + kEmpty, HttpError::BadStatus },
+    { "HTTP/1.1 099 Odd\r\n" + kEmpty, HttpError::BadStatus },
+    { "HTTP/1.1 600 Odd\r\n" + kEmpty, HttpError::BadStatus },
+    { "HTTP/1.1 999 Odd\r\n" + kEmpty, HttpError::BadStatus },
+    { "HTTP/1.1 20 OK\r\n" + kEmpty, HttpError::BadStatus },
+    { "HTTP/1.1 2000 OK\r\n" + kEmpty, HttpError::BadStatus },
+    { "HTTP/1.1 -20 OK\r\n" + kEmpty, HttpError::BadStatus },
+    { "HTTP/1.1 2x0 OK\r\n" + kEmpty, HttpError::BadStatus },
+    { "HTTP/1.1  200 OK\r\n" + kEmpty, HttpError::BadStatus },
+    { "HTTP/1.1 200\r\n" + kEmpty, HttpError::BadStatus },
+    { "HTTP/1.1 200 O\x01K\r\n" + kEmpty, HttpError::Malformed },
+    { "HTTP/1.1 200 OK\n" + kEmpty, HttpError::Malformed },
+    { "HTTP/2.0 200 OK\r\n" + kEmpty, HttpError::Malformed },
+    { "HTTP/0.9 200 OK\r\n" + kEmpty, HttpError::Malformed },
+    { "HTTP/1.2 200 OK\r\n" + kEmpty, HttpError::Malformed },
+    { "http/1.1 200 OK\r\n" + kEmpty, HttpError::Malformed },
+    { "\r\nHTTP/1.1 200 OK\r\n" + kEmpty, HttpError::Malformed },
+  });
+  checkAccepted({
+    { "HTTP/1.1 200 \r\n" + kEmpty, 200, "", {} },
+    { "HTTP/1.0 299 Odd one\r\n" + kEmpty, 299, "", {} },
+    { "HTTP/1.1 599 \r\n" + kEmpty, 599, "", {} },
+  });
+}
+
+TEST_CASE("interim responses are skipped, also those whose status is not known")
+{
+  checkAccepted({
+    { "HTTP/1.1 100 Continue\r\n\r\n" + kOk + kEmpty, 200, "", {} },
+    { "HTTP/1.1 150 Odd\r\nX: 1\r\n\r\n" + kOk + kEmpty, 200, "", {} },
+    { "HTTP/1.1 199 Odd\r\n\r\n" + kOk + kEmpty, 200, "", {} },
+  });
+}
--- a/libs/messages/src/OrderReport.cpp
+++ b/libs/messages/src/OrderReport.cpp
@@ -26,7 +26,8 @@
   CborReader reader(aBytes);
   OrderReport report;
   report.state = reader.name<OrderState>(Field::State);
-  report.response.status = static_cast<int>(reader.number(Field::Status));
+  const auto status =
+    http::Status::fromCode(static_cast<std::int64_t>(reader.number(Field::Status)));
   const auto headers = reader.array(Field::Headers);
   for (qsizetype i = 0; i + 1 < headers.size(); i += 2) {
     report.response.headers.push_back(
@@ -36,6 +37,10 @@
   if (reader.error()) {
     return reader.error();
   }
+  if (status.has_error()) {
+    return MessageError::Malformed;
+  }
+  report.response.status = status.value();
   return report;
 }
 
--- a/libs/messages/tests/MessagesTest.cpp
+++ b/libs/messages/tests/MessagesTest.cpp
@@ -1,3 +1,5 @@
+#include <QCborMap>
+#include <QCborValue>
 #include <catch2/catch.hpp>
 #include <messages/ClaimRecord.h>
 #include <messages/ConfigRecordMessage.h>
@@ -103,6 +105,28 @@
   CHECK(decoded.value().response.body == report.response.body);
 }
 
+TEST_CASE("an order report whose response has no status of a response is rejected")
+{
+  OrderReport report;
+  report.state = OrderState::Answered;
+  report.response.status = 599;
+  const auto bytes = encode(report);
+  REQUIRE(decodeOrderReport(bytes).has_value());
+  auto map = QCborValue::fromCbor(bytes).toMap();
+  for (const qint64 status :
+       { qint64{ 0 }, qint64{ 99 }, qint64{ 100 }, qint64{ 600 }, qint64{ 1 } << 32 }) {
+    CAPTURE(status);
+    for (auto it : map) {
+      if (it.second.toInteger() == 599) {
+        it.second = status;
+      }
+    }
+    CHECK(decodeOrderReport(map.toCborValue().toCbor()).error() ==
+          MessageError::Malformed);
+    map = QCborValue::fromCbor(bytes).toMap();
+  }
+}
+
 TEST_CASE("malformed messages and VM lists with an unknown role or no host are rejected")
 {
   for (const auto& it :
--- a/tests/harness/TestCaller.cpp
+++ b/tests/harness/TestCaller.cpp
@@ -44,6 +44,27 @@
   return response;
 }
 
+std::optional<RawResponse>
+TestCaller::receiveRaw(int aMostMs)
+{
+  std::optional<RawResponse> response;
+  waitUntil(
+    [&] {
+      mBytes += mSocket.readAll();
+      response = RawResponse::take(mBytes);
+      return response.has_value() || (!isConnected() && mSocket.bytesAvailable() == 0);
+    },
+    aMostMs);
+  return response;
+}
+
+QByteArray
+TestCaller::takeRest()
+{
+  mBytes += mSocket.readAll();
+  return std::exchange(mBytes, {});
+}
+
 bool
 TestCaller::waitForClose(int aMostMs)
 {
@@ -85,6 +106,12 @@
   return caller.receive(aMostMs, aRequest.method == "HEAD");
 }
 
+int
+statusOf(const std::optional<http::Response>& aResponse)
+{
+  return aResponse.has_value() ? static_cast<int>(aResponse->status) : 0;
+}
+
 std::string
 outcomeOf(const http::Response& aResponse)
 {
--- a/tests/harness/TestCaller.h
+++ b/tests/harness/TestCaller.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "RawResponse.h"
 #include <QHostAddress>
 #include <QTcpSocket>
 #include <http/Request.h>
@@ -22,6 +23,12 @@
   /** The next whole response; nothing if the connection ends or `aMostMs` pass. */
   std::optional<http::Response> receive(int aMostMs = 15'000, bool aIsHead = false);
 
+  /** As receive(), without the product's parser. */
+  std::optional<RawResponse> receiveRaw(int aMostMs = 15'000);
+
+  /** What has come after the responses that were received. */
+  QByteArray takeRest();
+
   /** Runs the event loop until the other end closes. */
   bool waitForClose(int aMostMs = 15'000);
 
@@ -47,6 +54,10 @@
          const http::Request& aRequest,
          int aMostMs = 15'000);
 
+/** The status code of a response; 0 without one. */
+int
+statusOf(const std::optional<http::Response>& aResponse);
+
 /** What a response says became of the call: the Masticwall-Outcome field. */
 std::string
 outcomeOf(const http::Response& aResponse);
--- a/tests/integration/GatewayTest.cpp
+++ b/tests/integration/GatewayTest.cpp
@@ -9,12 +9,6 @@
 
 namespace {
 
-int
-statusOf(const std::optional<http::Response>& aResponse)
-{
-  return aResponse.has_value() ? aResponse->status : 0;
-}
-
 QString
 text(const char* aText)
 {
--- a/tests/integration/LateAnswerTest.cpp
+++ b/tests/integration/LateAnswerTest.cpp
@@ -12,12 +12,6 @@
 
 constexpr int kRounds = 10;
 
-int
-statusOf(const std::optional<http::Response>& aResponse)
-{
-  return aResponse.has_value() ? aResponse->status : 0;
-}
-
 } // namespace
 
 TEST_CASE("an order that runs is not answered with the late answer of the health path")
--- a/tests/integration/LimitTest.cpp
+++ b/tests/integration/LimitTest.cpp
@@ -23,12 +23,6 @@
 /** The requests that an upstream may get within kWindow. */
 constexpr int kMaxInWindow = 35;
 
-int
-statusOf(const std::optional<http::Response>& aResponse)
-{
-  return aResponse.has_value() ? aResponse->status : 0;
-}
-
 /** Samples the requests that have reached an upstream, and keeps the highest number
  * within kWindow. */
 class WindowedRequests
--- a/tests/integration/LostPeersTest.cpp
+++ b/tests/integration/LostPeersTest.cpp
@@ -29,12 +29,6 @@
   }
 }
 
-int
-statusOf(const std::optional<http::Response>& aResponse)
-{
-  return aResponse.has_value() ? aResponse->status : 0;
-}
-
 } // namespace
 
 TEST_CASE("a VM whose peers are gone reads the store soon after a short outage")
--- a/tests/integration/ResourcesTest.cpp
+++ b/tests/integration/ResourcesTest.cpp
@@ -19,12 +19,6 @@
 /** As the users configure it. */
 constexpr qint64 kMaxBodyBytes = 64 * kMiB;
 
-int
-statusOf(const std::optional<http::Response>& aResponse)
-{
-  return aResponse.has_value() ? aResponse->status : 0;
-}
-
 /** The peak resident memory of a process, in KB. */
 qint64
 peakMemoryKb(qint64 aPid)
--- a/tests/integration/SignalsTest.cpp
+++ b/tests/integration/SignalsTest.cpp
@@ -14,12 +14,6 @@
 
 using Clock = std::chrono::steady_clock;
 
-int
-statusOf(const std::optional<http::Response>& aResponse)
-{
-  return aResponse.has_value() ? aResponse->status : 0;
-}
-
 std::string
 upstreamOf(const std::optional<http::Response>& aResponse)
 {
--- a/tests/integration/StoreRestoreTest.cpp
+++ b/tests/integration/StoreRestoreTest.cpp
@@ -10,12 +10,6 @@
 
 namespace {
 
-int
-statusOf(const std::optional<http::Response>& aResponse)
-{
-  return aResponse.has_value() ? aResponse->status : 0;
-}
-
 bool
 hasMetric(GatewaySystem& aSystem, int aGateway, const std::string& aText)
 {
--- a/tests/standins/Upstream.cpp
+++ b/tests/standins/Upstream.cpp
@@ -111,6 +111,28 @@
   });
 }
 
+std::optional<RawAnswer>
+Upstream::rawAnswerTo(const http::Request& aRequest) const
+{
+  const auto path = pathOf(aRequest);
+  if (path == QLatin1String("/standin")) {
+    return std::nullopt;
+  }
+  const auto& usual =
+    path == QLatin1String("/health") ? mRawHealthAnswer : mRawCallAnswer;
+  const auto answer = RawAnswer::fromRequest(aRequest).value_or(usual);
+  if (answer.bytes.isEmpty() && answer.unit.isEmpty()) {
+    return std::nullopt;
+  }
+  const auto id = headerOf(aRequest, kRequestId);
+  auto signs = "Masticwall-Instance-Id: " + mName + "\r\n";
+  if (!id.empty()) {
+    signs += std::string(kRequestId) + ": " + id + "\r\n" +
+             "Masticwall-Server-Signature: " + mName + '.' + id + "\r\n";
+  }
+  return answer.withSigns(signs);
+}
+
 void
 Upstream::change(const http::Request& aRequest)
 {
@@ -127,7 +149,7 @@
     } else if (name == QLatin1String("slow_factor")) {
       mSlowFactor = value.toDouble();
     } else if (name == QLatin1String("health_status")) {
-      mHealthStatus = value.toInt();
+      mHealthStatus = http::Status::fromCode(value.toInt()).value();
     } else if (name == QLatin1String("health_ms")) {
       mHealthTime = std::chrono::milliseconds(value.toInt());
     } else if (name == QLatin1String("health_not_run")) {
@@ -143,11 +165,18 @@
     } else if (name == QLatin1String("retry_after")) {
       mRetryAfter = value.toStdString();
     } else if (name == QLatin1String("error_status")) {
-      mErrorStatus = value.toInt();
+      const auto status = http::Status::fromCode(value.toInt());
+      mErrorStatus = status.has_value() ? std::optional(status.value()) : std::nullopt;
     } else if (name == QLatin1String("report_lag_ms")) {
       mReportLag = std::chrono::milliseconds(value.toInt());
     } else if (name == QLatin1String("service_ms")) {
       mServiceMs = value.toDouble();
+    } else if (name == QLatin1String("raw_answer")) {
+      mRawCallAnswer.bytes = QByteArray::fromPercentEncoding(value.toUtf8());
+    } else if (name == QLatin1String("raw_health")) {
+      mRawHealthAnswer.bytes = QByteArray::fromPercentEncoding(value.toUtf8());
+    } else if (name == QLatin1String("raw_health_unit")) {
+      mRawHealthAnswer.unit = QByteArray::fromPercentEncoding(value.toUtf8());
     }
   }
 }
@@ -224,9 +253,7 @@
     const auto id = headerOf(aRequest, kRequestId);
     response.headers.push_back({ "Masticwall-Server-Signature", mName + '.' + id });
   }
-  if (mErrorStatus != 0) {
-    response.status = mErrorStatus;
-  }
+  response.status = mErrorStatus.value_or(response.status);
   response.body = aRequest.method + ' ' + aRequest.target + '\n' + aRequest.body;
   const auto size = headerOf(aRequest, "Test-Body-Bytes");
   if (!size.empty()) {
--- a/tests/standins/Upstream.h
+++ b/tests/standins/Upstream.h
@@ -2,6 +2,7 @@
 
 #include "Ledger.h"
 #include "Options.h"
+#include "RawAnswer.h"
 #include <deque>
 #include <functional>
 #include <http/Request.h>
@@ -30,6 +31,9 @@
   /** Whether connections send a second, late copy of each answer of the health path. */
   bool copiesHealth() const { return mCopiesHealth; }
 
+  /** What is sent in place of the answer to a request; empty: the answer itself. */
+  std::optional<RawAnswer> rawAnswerTo(const http::Request& aRequest) const;
+
 private:
   struct Waiting
   {
@@ -75,14 +79,16 @@
   std::string mServerLimit;   ///< said with each answer; empty: nothing
   std::string mRetryAfter;    ///< said with each rejection; empty: nothing
   bool mHidesLoad = false;    ///< the platform's answers don't tell its load
-  int mErrorStatus = 0;       ///< of requests that have run; 0: success
-  int mHealthStatus = 200;
+  std::optional<http::Status> mErrorStatus; ///< of requests that have run; empty: success
+  http::Status mHealthStatus = 200;
   int mPendingHealth = 0;
   Duration mHealthTime{ 0 };    ///< until the health path answers
   bool mIsHealthNotRun = false; ///< the health path's answers say so, as when it is full
   bool mHidesHealthLeaving = false; ///< only other answers say that it leaves
   bool mCopiesHealth = false;
-  Duration mReportLag{ 0 }; ///< how old the load is that answers tell of
+  RawAnswer mRawCallAnswer;   ///< in place of all answers to calls, if not empty
+  RawAnswer mRawHealthAnswer; ///< in place of the health path's answers, if not empty
+  Duration mReportLag{ 0 };   ///< how old the load is that answers tell of
   std::deque<Report> mReports;
   int mInUse = 0;
   std::deque<Waiting> mQueue;
--- a/tests/standins/UpstreamConnection.cpp
+++ b/tests/standins/UpstreamConnection.cpp
@@ -1,4 +1,5 @@
 #include "UpstreamConnection.h"
+#include <QTimer>
 #include <core/Bytes.h>
 #include <http/Serializer.h>
 
@@ -69,6 +70,10 @@
   if (behaviour == "silent") {
     return;
   }
+  if (const auto raw = mUpstream.rawAnswerTo(aRequest)) {
+    sendRaw(*raw);
+    return;
+  }
   if (behaviour == "endless") {
     auto head = aResponse;
     head.keepAlive = false;
@@ -76,13 +81,7 @@
     auto bytesOfHead = http::serialize(head, true, false);
     bytesOfHead.replace(QByteArrayLiteral("Content-Length: "),
                         QByteArrayLiteral("X-Length: "));
-    mSocket->write(bytesOfHead);
-    QObject::connect(
-      mSocket, &QTcpSocket::bytesWritten, mSocket, [self = shared_from_this()] {
-        if (self->mSocket->bytesToWrite() < kEndlessBytes) {
-          self->mSocket->write(QByteArray(kEndlessBytes, 'e'));
-        }
-      });
+    sendRaw({ bytesOfHead, QByteArray(kEndlessBytes, 'e') });
     return;
   }
   if (behaviour == "close") {
@@ -116,4 +115,24 @@
   mSocket->write(bytes);
 }
 
+void
+UpstreamConnection::sendRaw(const RawAnswer& aAnswer)
+{
+  mSocket->write(aAnswer.bytes);
+  if (aAnswer.unit.isEmpty()) {
+    return;
+  }
+  const auto sendUnits = [self = shared_from_this(), unit = aAnswer.unit] {
+    while (self->mSocket->state() == QAbstractSocket::ConnectedState &&
+           self->mSocket->bytesToWrite() < kEndlessBytes) {
+      self->mSocket->write(unit);
+    }
+  };
+  const auto pause = static_cast<int>(toMilliseconds(aAnswer.pause));
+  QTimer::singleShot(pause, mSocket, [socket = mSocket, sendUnits] {
+    QObject::connect(socket, &QTcpSocket::bytesWritten, socket, sendUnits);
+    sendUnits();
+  });
+}
+
 } // namespace masticwall::standin
--- a/tests/standins/UpstreamConnection.h
+++ b/tests/standins/UpstreamConnection.h
@@ -23,6 +23,7 @@
 private:
   void onReadable();
   void answer(const http::Request& aRequest, const http::Response& aResponse);
+  void sendRaw(const RawAnswer& aAnswer);
 
   Upstream& mUpstream;
   QTcpSocket* mSocket; ///< owned; deleted by Qt later
