Reject responses in whose head a line continues the one before it

What callers saw: a line that begins with a blank or a tab came as 200 with the line joined to the value before it ("X-Odd: 1 X-More: 2").

Cause: Beast joins continued lines (obs-fold) to one value before anything can look at them.

Handled before, kept as tests and otherwise unchanged: a blank, tab, NUL, control byte, DEL, byte beyond ASCII or delimiter in a name, a blank before the colon, no name, no colon, a bare CR or LF, control bytes in a value, and a head that begins with such a line: 502 in all 13 cases, lookups and orders alike.

Change: ResponseParser takes the head apart from the body and looks at the lines that the parser has consumed; a line that continues another ends the response as FoldedField, in interim responses too. Beast consumes a line only together with those that continue it, so that each put() can be looked at alone. Requests are not concerned.

ResponseParserTest has the table of names, values and lines, fed whole and byte by byte.

Why it works: all heads of HTTP/1 responses pass feedHead() before any of their fields is read.

--- a/libs/http/include/http/HttpError.h
+++ b/libs/http/include/http/HttpError.h
@@ -15,6 +15,7 @@
   Surplus,               ///< received bytes that belong to no request
   UnknownTransferCoding, ///< a transfer coding other than "chunked"
   BadStatus,             ///< no status of a response
+  FoldedField,           ///< a line of a head continues the one before it
   Unframed, ///< a response without a length, delimited by the connection's close
 };
 
@@ -22,7 +23,7 @@
 struct EnumTable<HttpError>
 {
   static constexpr const char* kCategory = "http";
-  static constexpr std::array<EnumName<HttpError>, 9> kEntries{ {
+  static constexpr std::array<EnumName<HttpError>, 10> kEntries{ {
     { HttpError::Malformed, "malformed" },
     { HttpError::HeaderTooLarge, "header-too-large" },
     { HttpError::BodyTooLarge, "body-too-large" },
@@ -31,6 +32,7 @@
     { HttpError::Surplus, "surplus" },
     { HttpError::UnknownTransferCoding, "unknown-transfer-coding" },
     { HttpError::BadStatus, "bad-status" },
+    { HttpError::FoldedField, "folded-field" },
     { HttpError::Unframed, "unframed" },
   } };
 };
--- a/libs/http/src/ResponseParser.cpp
+++ b/libs/http/src/ResponseParser.cpp
@@ -1,4 +1,5 @@
 #include "BeastMessage.h"
+#include <algorithm>
 #include <charconv>
 #include <http/ResponseParser.h>
 
@@ -30,6 +31,47 @@
                                           : std::nullopt;
 }
 
+/** Whether a line begins with a blank or a tab, and so continues the one before it. */
+bool
+hasFoldedLine(std::string_view aLines)
+{
+  return std::adjacent_find(aLines.begin(), aLines.end(), [](char aLeft, char aRight) {
+           return aLeft == '\n' && (aRight == ' ' || aRight == '\t');
+         }) != aLines.end();
+}
+
+/**
+ * Feeds a parser from the front of `aBytes` up to the end of the head, and removes the
+ * bytes that it consumed. A continued line is rejected: Beast joins it to the one before,
+ * where it hides a field or what is none. Beast consumes a line only together with those
+ * that continue it.
+ */
+template<class Parser>
+std::error_code
+feedHead(Parser& aParser, QByteArray& aBytes)
+{
+  boost::system::error_code ec;
+  qsizetype consumed = 0;
+  while (consumed < aBytes.size() && !aParser.is_header_done() && !ec) {
+    const auto* const begin = aBytes.constData() + consumed;
+    const boost::asio::const_buffer buf(
+      begin, static_cast<std::size_t>(aBytes.size() - consumed));
+    const auto n = aParser.put(buf, ec);
+    consumed += static_cast<qsizetype>(n);
+    if (hasFoldedLine({ begin, n })) {
+      return HttpError::FoldedField;
+    }
+  }
+  aBytes.remove(0, consumed);
+  if (ec == beast::error::need_more) {
+    return {};
+  }
+  if (ec == beast::error::bad_status) {
+    return HttpError::BadStatus;
+  }
+  return ec ? toHttpError(ec) : std::error_code();
+}
+
 } // namespace
 
 struct ResponseParser::Impl
@@ -52,12 +94,25 @@
   void reset()
   {
     parser.emplace();
-    parser->eager(true);
     parser->skip(isHead);
     parser->header_limit(limits.maxHeaderBytes);
     parser->body_limit(limits.maxBodyBytes);
   }
 
+  std::error_code feedParser(QByteArray& aBytes)
+  {
+    if (!parser->is_header_done()) {
+      parser->eager(false); // stops at the end of the head
+      const auto ec = feedHead(*parser, aBytes);
+      if (ec || !parser->is_header_done()) {
+        return ec;
+      }
+      parser->eager(true);
+    }
+    const auto ec = http::feedParser(*parser, aBytes);
+    return ec ? toHttpError(ec) : std::error_code();
+  }
+
   bool isInterim() const
   {
     const auto code = parser->get().result_int();
@@ -110,9 +165,8 @@
 {
   while (true) {
     const auto size = aBytes.size();
-    const auto ec = feedParser(*mImpl->parser, aBytes);
-    if (ec) {
-      return ec == beast::error::bad_status ? HttpError::BadStatus : toHttpError(ec);
+    if (const auto ec = mImpl->feedParser(aBytes)) {
+      return ec;
     }
     mImpl->bytesParsed += static_cast<std::uint64_t>(size - aBytes.size());
     if (mImpl->bytesParsed > mImpl->maxBytes()) {
--- a/libs/http/tests/ResponseParserTest.cpp
+++ b/libs/http/tests/ResponseParserTest.cpp
@@ -109,6 +109,44 @@
   });
 }
 
+TEST_CASE("a head is rejected if one of its lines is no field")
+{
+  const auto withLine = [](const QByteArray& aLine) { return kOk + aLine + kEmpty; };
+  checkRejected({
+    { withLine("X Y: 1\r\n"), HttpError::Malformed },
+    { withLine("X : 1\r\n"), HttpError::Malformed },
+    { withLine("X\t: 1\r\n"), HttpError::Malformed },
+    { withLine(QByteArray("X\0: 1\r\n", 7)), HttpError::Malformed },
+    { withLine("X\x01: 1\r\n"), HttpError::Malformed },
+    { withLine("X\x7f: 1\r\n"), HttpError::Malformed },
+    { withLine("X\x80: 1\r\n"), HttpError::Malformed },
+    { withLine("X/Y: 1\r\n"), HttpError::Malformed },
+    { withLine(": 1\r\n"), HttpError::Malformed },
+    { withLine("X\r\n"), HttpError::Malformed },
+    { withLine("X: 1\r2\r\n"), HttpError::Malformed },
+    { withLine("X: 1\nY: 2\r\n"), HttpError::Malformed },
+    { withLine("X: \x01\r\n"), HttpError::Malformed },
+    { withLine(QByteArray("X: \0\r\n", 6)), HttpError::Malformed },
+    { withLine(" X: 1\r\n"), HttpError::Malformed }, // the first line continues none
+    { withLine("X: 1\r\n Y: 2\r\n"), HttpError::FoldedField },
+    { withLine("X: 1\r\n\tY: 2\r\n"), HttpError::FoldedField },
+    { withLine("X:\r\n 1\r\n"), HttpError::FoldedField },
+    { withLine("X: 1\r\n \r\n"), HttpError::FoldedField },
+    { withLine("X: 1\r\n 2\r\n 3\r\n"), HttpError::FoldedField },
+    { kOk + "Content-Length: 0\r\nX: 1\r\n 2\r\n\r\n", HttpError::FoldedField },
+    { "HTTP/1.1 103 Odd\r\nX: 1\r\n 2\r\n\r\n" + kOk + kEmpty, HttpError::FoldedField },
+  });
+  checkAccepted({
+    { withLine("X:1\r\n"), 200, "", { { "X", "1" } } },
+    { withLine("X: \t 1 \t\r\n"), 200, "", { { "X", "1" } } },
+    { withLine("X:\r\n"), 200, "", { { "X", "" } } },
+    { withLine("X: a\tb \x80\r\n"), 200, "", { { "X", "a\tb \x80" } } },
+    { withLine("!#$%&'*+-.^_`|~0aZ: 1\r\n"), 200, "", { { "!#$%&'*+-.^_`|~0aZ", "1" } } },
+    // Lines of the body are no lines of the head.
+    { kOk + "Content-Length: 6\r\n\r\n\r\n \r\n\t", 200, "\r\n \r\n\t", {} },
+  });
+}
+
 TEST_CASE("interim responses are skipped, also those whose status is not known")
 {
   checkAccepted({
--- a/tests/integration/BrokenAnswerTest.cpp
+++ b/tests/integration/BrokenAnswerTest.cpp
@@ -43,6 +43,13 @@
   return { { "Test-Raw-Answer", aAnswer.toPercentEncoding().toStdString() } };
 }
 
+/** A response whose head has these bytes in place of a field's line. */
+QByteArray
+withLine(const QByteArray& aLine)
+{
+  return "HTTP/1.1 200 OK\r\n{signs}" + aLine + "Content-Length: 3\r\n\r\nodd";
+}
+
 /** Whether the caller gets a whole answer of its own, with nothing before or after. */
 bool
 isServed(TestCaller& aCaller, const std::string& aMethod, const std::string& aId)
@@ -69,7 +76,9 @@
     REQUIRE(response.has_value());
     CHECK(response->statusLine.starts_with("HTTP/1.1 502 "));
     CHECK_FALSE(response->field("Content-Length").empty());
-    CHECK(response->field("X-Odd").empty());
+    for (const auto& line : response->fieldLines) {
+      CHECK(line.find("Odd") == std::string::npos);
+    }
     CHECK(response->body.find("odd") == std::string::npos);
     CHECK(caller.takeRest().isEmpty());
     // A lookup may be sent once more.
@@ -114,3 +123,47 @@
     CHECK(isServed(caller, method, "next-" + method));
   }
 }
+
+TEST_CASE("an answer with a line that is no field does not reach the caller")
+{
+  GatewaySystem system(1, 2);
+  REQUIRE(system.start());
+  for (const auto& it :
+       { BrokenAnswer{ "a blank in the name", withLine("X Odd: 1\r\n") },
+         { "a blank before the colon", withLine("X-Odd : 1\r\n") },
+         { "a tab in the name", withLine("X\tOdd: 1\r\n") },
+         { "NUL in the name", withLine(QByteArray("X\0Odd: 1\r\n", 10)) },
+         { "a control byte in the name", withLine("X\x01Odd: 1\r\n") },
+         { "DEL in the name", withLine("X\x7fOdd: 1\r\n") },
+         { "a byte beyond ASCII in the name", withLine("X\x80Odd: 1\r\n") },
+         { "a delimiter in the name", withLine("X(Odd: 1\r\n") },
+         { "no name", withLine(": Odd\r\n") },
+         { "no colon", withLine("Odd\r\n") },
+         { "a bare carriage return in the value", withLine("X-Odd: 1\r2\r\n") },
+         { "a bare line feed after the value", withLine("X-Odd: 1\nX: 2\r\n") },
+         { "a control byte in the value", withLine("X-Odd: \x01\r\n") } }) {
+    checkNotPassedOn(system, it);
+  }
+}
+
+TEST_CASE("an answer with a line that continues another does not reach the caller")
+{
+  GatewaySystem system(1, 2);
+  REQUIRE(system.start());
+  for (const auto& it :
+       { BrokenAnswer{ "with a blank", withLine("X-Odd: 1\r\n X-More: 2\r\n") },
+         { "with a tab", withLine("X-Odd: 1\r\n\tX-More: 2\r\n") },
+         { "after an empty value", withLine("X-Odd:\r\n 2\r\n") },
+         { "without a byte of its own", withLine("X-Odd: 1\r\n \r\n") },
+         { "hiding a length", withLine("X-Odd: 1\r\n Content-Length: 1\r\n") },
+         { "hiding the framing",
+           withLine("X-Odd: 1\r\n Transfer-Encoding: chunked\r\n") },
+         { "first in the head",
+           "HTTP/1.1 200 OK\r\n X-Odd: 1\r\n{signs}Content-Length: 3\r\n\r\nodd" },
+         { "last in the head",
+           "HTTP/1.1 200 OK\r\n{signs}Content-Length: 3\r\nX-Odd: 1\r\n 2\r\n\r\nodd" },
+         { "in an interim answer",
+           "HTTP/1.1 103 Odd\r\nX-Odd: 1\r\n 2\r\n\r\n" + withLine({}) } }) {
+    checkNotPassedOn(system, it);
+  }
+}
