Reject responses whose transfer coding is not "chunked"

What callers saw: "Transfer-Encoding: gzip, chunked" came as 200, with the field dropped and the coded bytes as if they were the body. The same with the codings in two lines, with a coding beside a Content-Length, and for chunks in an HTTP/1.0 response. A coding without chunks ended in a 504 after the whole deadline, as the end of such a body is the connection's.

Cause: Beast ignores codings that it doesn't know. RequestParser makes up for it by checkFraming(); ResponseParser had nothing like it.

Handled before, kept as tests: contradicting or malformed lengths, lengths and chunks together, chunks twice, chunk sizes that are none, chunks longer than their size.

What requests get for it is as before (RequestFramingTest).

ResponseParserTest has the table, with what is accepted beside it.

Why it works: no byte of a body is read before its head has passed the check, so that a response either has a framing that both sides know or is none.

--- a/libs/http/src/BeastMessage.h
+++ b/libs/http/src/BeastMessage.h
@@ -6,6 +6,8 @@
 #include <http/Header.h>
 #include <http/HttpError.h>
 #include <http/MessageLimits.h>
+#include <iterator>
+#include <optional>
 
 // Helpers for the source files that use Boost.Beast.
 namespace masticwall::http {
@@ -64,6 +66,28 @@
   return HttpError::Malformed;
 }
 
+/**
+ * Checks what decides where a message ends, beyond what Beast does. Beast ignores
+ * transfer codings that it does not know: it would take a request's body for the next
+ * request, and a response's coded bytes for its content.
+ */
+template<class Message>
+std::optional<HttpError>
+checkFraming(const Message& aMessage)
+{
+  const auto codings = aMessage.equal_range(beast::field::transfer_encoding);
+  const auto n = std::distance(codings.first, codings.second);
+  if (n > 1 || (n == 1 && aMessage.version() < 11)) {
+    return HttpError::Malformed;
+  }
+  if (n == 1 && !boost::beast::iequals(codings.first->value(), "chunked")) {
+    const auto value = toString(codings.first->value());
+    const bool isToken = !value.empty() && value.find_first_of(", \t;") == value.npos;
+    return isToken ? HttpError::UnknownTransferCoding : HttpError::Malformed;
+  }
+  return std::nullopt;
+}
+
 /**
  * Feeds a Beast parser from the front of `aBytes` and removes the bytes it consumed.
  * Returns no error if the parser needs more bytes.
--- a/libs/http/src/RequestParser.cpp
+++ b/libs/http/src/RequestParser.cpp
@@ -6,34 +6,11 @@
 
 namespace {
 
-using Parser = beast::request_parser<beast::string_body>;
-
 /** Beast can't store longer field names and values. */
 constexpr std::uint32_t kMaxHeaderBytes = 60 * kKiB;
 
 constexpr std::string_view kHttpScheme = "http://";
 
-/**
- * Checks what decides where the request ends, beyond what Beast does. Beast ignores
- * transfer codings that it does not know, and would take the body for the next request.
- */
-std::optional<HttpError>
-checkFraming(const Parser& aParser)
-{
-  const auto& message = aParser.get();
-  const auto codings = message.equal_range(beast::field::transfer_encoding);
-  const auto n = std::distance(codings.first, codings.second);
-  if (n > 1 || (n == 1 && message.version() < 11)) {
-    return HttpError::Malformed;
-  }
-  if (n == 1 && !boost::beast::iequals(codings.first->value(), "chunked")) {
-    const auto value = toString(codings.first->value());
-    const bool isToken = !value.empty() && value.find_first_of(", \t;") == value.npos;
-    return isToken ? HttpError::UnknownTransferCoding : HttpError::Malformed;
-  }
-  return std::nullopt;
-}
-
 /** Changes the absolute form of the target, which is meant for proxies, to the origin
  * form and a Host field. Returns false if the target is neither. */
 bool
@@ -64,7 +41,7 @@
 
 struct RequestParser::Impl
 {
-  Parser parser;
+  beast::request_parser<beast::string_body> parser;
   MessageLimits limits;
 
   Request releaseRequest()
@@ -103,7 +80,7 @@
     return toHttpError(ec);
   }
   if (mImpl->parser.is_header_done()) {
-    if (const auto error = checkFraming(mImpl->parser)) {
+    if (const auto error = checkFraming(mImpl->parser.get())) {
       return *error;
     }
   }
--- a/libs/http/src/ResponseParser.cpp
+++ b/libs/http/src/ResponseParser.cpp
@@ -107,6 +107,9 @@
       if (ec || !parser->is_header_done()) {
         return ec;
       }
+      if (const auto error = checkFraming(parser->get())) {
+        return *error;
+      }
       parser->eager(true);
     }
     const auto ec = http::feedParser(*parser, aBytes);
--- a/libs/http/tests/ResponseParserTest.cpp
+++ b/libs/http/tests/ResponseParserTest.cpp
@@ -155,3 +155,63 @@
     { "HTTP/1.1 199 Odd\r\n\r\n" + kOk + kEmpty, 200, "", {} },
   });
 }
+
+TEST_CASE("a response is rejected if its end or its coding is not known")
+{
+  const auto withFraming = [](const QByteArray& aLines, const QByteArray& aBody = "") {
+    return kOk + aLines + "\r\n" + aBody;
+  };
+  const QByteArray chunked = "Transfer-Encoding: chunked\r\n";
+  checkRejected({
+    { withFraming("Transfer-Encoding: gzip\r\n"), HttpError::UnknownTransferCoding },
+    { withFraming("Transfer-Encoding: identity\r\n"), HttpError::UnknownTransferCoding },
+    { withFraming("Transfer-Encoding: xchunked\r\n"), HttpError::UnknownTransferCoding },
+    { withFraming("Transfer-Encoding: gzip, chunked\r\n"), HttpError::Malformed },
+    { withFraming("Transfer-Encoding: chunked, gzip\r\n"), HttpError::Malformed },
+    { withFraming("Transfer-Encoding: chunked, chunked\r\n"), HttpError::Malformed },
+    { withFraming("Transfer-Encoding: chunked;x=1\r\n"), HttpError::Malformed },
+    { withFraming("Transfer-Encoding:\r\n"), HttpError::Malformed },
+    { withFraming("Transfer-Encoding: gzip\r\n" + chunked), HttpError::Malformed },
+    { withFraming(chunked + chunked), HttpError::Malformed },
+    { withFraming(chunked + "Content-Length: 0\r\n"), HttpError::Malformed },
+    { withFraming("Content-Length: 0\r\n" + chunked), HttpError::Malformed },
+    { withFraming("Transfer-Encoding: gzip\r\nContent-Length: 0\r\n"),
+      HttpError::UnknownTransferCoding },
+    { "HTTP/1.0 200 OK\r\n" + chunked + "\r\n", HttpError::Malformed },
+    { withFraming("Content-Length: 1\r\nContent-Length: 2\r\n"), HttpError::Malformed },
+    { withFraming("Content-Length: 1, 2\r\n"), HttpError::Malformed },
+    { withFraming("Content-Length: 1,\r\n"), HttpError::Malformed },
+    { withFraming("Content-Length:\r\n"), HttpError::Malformed },
+    { withFraming("Content-Length: +1\r\n"), HttpError::Malformed },
+    { withFraming("Content-Length: -1\r\n"), HttpError::Malformed },
+    { withFraming("Content-Length: 0x1\r\n"), HttpError::Malformed },
+    { withFraming("Content-Length: 1 2\r\n"), HttpError::Malformed },
+    { withFraming("Content-Length: 18446744073709551616\r\n"), HttpError::Malformed },
+    { withFraming("Content-Length: 4097\r\n"), HttpError::BodyTooLarge },
+    { withFraming(chunked, "x\r\n"), HttpError::Malformed },
+    { withFraming(chunked, "-1\r\n"), HttpError::Malformed },
+    { withFraming(chunked, " 1\r\n"), HttpError::Malformed },
+    { withFraming(chunked, "\r\n"), HttpError::Malformed },
+    { withFraming(chunked, "1\nx\r\n0\r\n\r\n"), HttpError::Malformed },
+    { withFraming(chunked, "10000000000000001\r\n"), HttpError::Malformed },
+    { withFraming(chunked, "1001\r\n"), HttpError::BodyTooLarge },
+    { withFraming(chunked, "1\r\nxx\r\n0\r\n\r\n"), HttpError::Malformed },
+    { withFraming(chunked, "0\r\nX Y: 1\r\n\r\n"), HttpError::Malformed },
+  });
+  checkAccepted({
+    { withFraming("Content-Length: 1\r\nContent-Length: 1\r\n", "x"), 200, "x", {} },
+    { withFraming("Content-Length: 1, 1\r\n", "x"), 200, "x", {} },
+    { withFraming("Transfer-Encoding: Chunked\r\n", "1\r\nx\r\n0\r\n\r\n"),
+      200,
+      "x",
+      {} },
+    { withFraming(chunked, "001;a=b;c=\"d\"\r\nx\r\nA;e\r\n0123456789\r\n0\r\n\r\n"),
+      200,
+      "x0123456789",
+      {} },
+    // These have no body, whatever their fields say.
+    { "HTTP/1.1 204 None\r\nContent-Length: 5\r\n\r\n", 204, "", {} },
+    { "HTTP/1.1 304 None\r\nContent-Length: 5\r\n\r\n", 304, "", {} },
+    { "HTTP/1.1 204 None\r\n" + chunked + "\r\n", 204, "", {} },
+  });
+}
--- a/tests/integration/BrokenAnswerTest.cpp
+++ b/tests/integration/BrokenAnswerTest.cpp
@@ -167,3 +167,59 @@
     checkNotPassedOn(system, it);
   }
 }
+
+TEST_CASE("an answer whose end or coding is not known does not reach the caller")
+{
+  GatewaySystem system(1, 2);
+  REQUIRE(system.start());
+  const auto withFraming = [](const QByteArray& aLines, const QByteArray& aBody) {
+    return "HTTP/1.1 200 OK\r\n{signs}X-Odd: 1\r\n" + aLines + "\r\n" + aBody;
+  };
+  const QByteArray chunks = "3\r\nodd\r\n0\r\n\r\n";
+  for (const auto& it :
+       { BrokenAnswer{
+           "a coding, to the end of the connection",
+           withFraming("Transfer-Encoding: gzip\r\nConnection: close\r\n", "odd") },
+         { "a coding, in chunks",
+           withFraming("Transfer-Encoding: gzip, chunked\r\n", chunks) },
+         { "a coding after the chunks",
+           withFraming("Transfer-Encoding: chunked, gzip\r\n", chunks) },
+         { "chunks in chunks",
+           withFraming("Transfer-Encoding: chunked, chunked\r\n", chunks) },
+         { "a coding and chunks in two lines",
+           withFraming("Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n",
+                       chunks) },
+         { "chunks, twice",
+           withFraming("Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+                       chunks) },
+         { "an empty coding", withFraming("Transfer-Encoding:\r\n", "odd") },
+         { "a coding and a length",
+           withFraming("Transfer-Encoding: gzip\r\nContent-Length: 3\r\n", "odd") },
+         { "chunks and a length",
+           withFraming("Transfer-Encoding: chunked\r\nContent-Length: 3\r\n", chunks) },
+         { "a length and chunks",
+           withFraming("Content-Length: 3\r\nTransfer-Encoding: chunked\r\n", chunks) },
+         { "chunks of HTTP/1.0",
+           "HTTP/1.0 200 OK\r\n{signs}X-Odd: 1\r\nTransfer-Encoding: chunked\r\n\r\n" +
+             chunks },
+         { "two lengths",
+           withFraming("Content-Length: 3\r\nContent-Length: 2\r\n", "odd") },
+         { "two lengths in a line", withFraming("Content-Length: 3, 2\r\n", "odd") },
+         { "a length with a sign", withFraming("Content-Length: +3\r\n", "odd") },
+         { "a length below 0", withFraming("Content-Length: -3\r\n", "odd") },
+         { "a length that is no number", withFraming("Content-Length: 0x3\r\n", "odd") },
+         { "no length", withFraming("Content-Length:\r\n", "odd") },
+         { "a length beyond all numbers",
+           withFraming("Content-Length: 99999999999999999999\r\n", "odd") },
+         { "a chunk's size that is no number",
+           withFraming("Transfer-Encoding: chunked\r\n", "x\r\nodd\r\n0\r\n\r\n") },
+         { "a chunk's size with a sign",
+           withFraming("Transfer-Encoding: chunked\r\n", "-3\r\nodd\r\n0\r\n\r\n") },
+         { "a chunk's size beyond all numbers",
+           withFraming("Transfer-Encoding: chunked\r\n",
+                       "10000000000000003\r\nodd\r\n0\r\n\r\n") },
+         { "a chunk longer than its size",
+           withFraming("Transfer-Encoding: chunked\r\n", "2\r\nodd\r\n0\r\n\r\n") } }) {
+    checkNotPassedOn(system, it);
+  }
+}
