Bound what services may send, and read their responses as those of upstreams are read

Cause: ServiceHttp used QNetworkAccessManager. It keeps every byte of a body until the end, its transfer timeout counts silence only, and it has rules of its own for what a response is: two of four broken responses were taken.

Weighed, not tried: a bound on the bytes of QNetworkReply. It would cover bodies only, and leave a second reader with rules of its own.

Change: ServiceHttp sends its requests through UpstreamConnectionPool, so that all readers of HTTP/1 share one parser and its bounds. A response may have 16 MiB, as one between our processes, and all that come in at the same time twice that; the timeout covers the whole response. A request whose connection ends without a response is sent once more, as Qt did. VmSession (masticwallctl) had a second QNetworkAccessManager, and uses ServiceHttp now. A 202 is a success, since an operator's port answers a drain so. Hosts are IP addresses, as the settings' help says.

Why it works: no reader of HTTP/1 is left that has other bounds than the pool's.

--- a/libs/ctl/src/VmSession.cpp
+++ b/libs/ctl/src/VmSession.cpp
@@ -2,12 +2,10 @@
 #include "Await.h"
 #include "CtlError.h"
 #include <QJsonDocument>
-#include <QNetworkAccessManager>
-#include <QNetworkReply>
-#include <QNetworkRequest>
 #include <QUrl>
 #include <algorithm>
 #include <messages/VmListMessage.h>
+#include <service/ServiceHttp.h>
 #include <service/VmListClient.h>
 
 namespace masticwall {
@@ -15,30 +13,28 @@
 namespace {
 
 constexpr Duration kVmListTimeout = std::chrono::seconds(2);
-constexpr int kVmRequestTimeoutMs = 1500;
+constexpr Duration kVmRequestTimeout = std::chrono::milliseconds(1500);
 
-QNetworkRequest
-operatorRequest(const Vm& aVm, const QString& aPath)
+QUrl
+operatorUrl(const Vm& aVm, const QString& aPath)
 {
   QUrl url;
   url.setScheme(QStringLiteral("http"));
   url.setHost(QString::fromStdString(aVm.host));
   url.setPort(aVm.operatorPort);
   url.setPath(aPath);
-  QNetworkRequest request(url);
-  request.setTransferTimeout(kVmRequestTimeoutMs);
-  return request;
+  return url;
 }
 
 VmStatus
-toStatus(const Vm& aVm, QNetworkReply& aReply)
+toStatus(const Vm& aVm, const Result<QByteArray>& aReply)
 {
   VmStatus status;
   status.vm = aVm.name;
-  if (aReply.error() != QNetworkReply::NoError) {
+  if (aReply.has_error()) {
     return status;
   }
-  status.state = QJsonDocument::fromJson(aReply.readAll()).object();
+  status.state = QJsonDocument::fromJson(aReply.value()).object();
   status.hasReplied = status.state.contains(QStringLiteral("version"));
   status.version =
     static_cast<std::uint64_t>(status.state[QStringLiteral("version")].toInteger());
@@ -51,7 +47,7 @@
 
 struct VmSession::Impl
 {
-  QNetworkAccessManager network;
+  ServiceHttp http;
 };
 
 VmSession::VmSession(const CtlSettings& aSettings)
@@ -91,23 +87,19 @@
       return;
     }
     for (const auto& vm : list) {
-      auto* const reply =
-        mImpl->network.get(operatorRequest(vm, QStringLiteral("/state")));
-      QObject::connect(reply,
-                       &QNetworkReply::finished,
-                       reply,
-                       [reply, vm, statuses, aDone, n = list.size()] {
-                         reply->deleteLater();
-                         statuses->push_back(toStatus(vm, *reply));
-                         if (statuses->size() == n) {
-                           std::sort(statuses->begin(),
-                                     statuses->end(),
-                                     [](const auto& aLeft, const auto& aRight) {
-                                       return aLeft.vm < aRight.vm;
-                                     });
-                           aDone(*statuses);
-                         }
-                       });
+      mImpl->http.get(operatorUrl(vm, QStringLiteral("/state")),
+                      kVmRequestTimeout,
+                      [vm, statuses, aDone, n = list.size()](const auto& aReply) {
+                        statuses->push_back(toStatus(vm, aReply));
+                        if (statuses->size() == n) {
+                          std::sort(statuses->begin(),
+                                    statuses->end(),
+                                    [](const auto& aLeft, const auto& aRight) {
+                                      return aLeft.vm < aRight.vm;
+                                    });
+                          aDone(*statuses);
+                        }
+                      });
     }
   });
 }
@@ -116,35 +108,24 @@
 VmSession::state(const std::string& aVm)
 {
   BOOST_OUTCOME_TRY(vm, find(aVm));
-  auto* const reply = mImpl->network.get(operatorRequest(vm, QStringLiteral("/state")));
-  return await<Result<QByteArray>>([&](auto aDone) {
-    QObject::connect(reply, &QNetworkReply::finished, reply, [reply, aDone] {
-      reply->deleteLater();
-      if (reply->error() != QNetworkReply::NoError) {
-        aDone(CtlError::VmUnreachable);
-        return;
-      }
-      aDone(reply->readAll());
-    });
+  auto reply = await<Result<QByteArray>>([&](auto aDone) {
+    mImpl->http.get(operatorUrl(vm, QStringLiteral("/state")), kVmRequestTimeout, aDone);
   });
+  return reply.has_error() ? CtlError::VmUnreachable : std::move(reply);
 }
 
 Result<void>
 VmSession::drain(const std::string& aVm)
 {
   BOOST_OUTCOME_TRY(vm, find(aVm));
-  auto* const reply =
-    mImpl->network.post(operatorRequest(vm, QStringLiteral("/drain")), QByteArray());
-  return await<Result<void>>([&](auto aDone) {
-    QObject::connect(reply, &QNetworkReply::finished, reply, [reply, aDone] {
-      reply->deleteLater();
-      if (reply->error() != QNetworkReply::NoError) {
-        aDone(CtlError::VmUnreachable);
-        return;
-      }
-      aDone(success());
-    });
+  const auto reply = await<Result<QByteArray>>([&](auto aDone) {
+    mImpl->http.post(
+      operatorUrl(vm, QStringLiteral("/drain")), {}, kVmRequestTimeout, aDone);
   });
+  if (reply.has_error()) {
+    return CtlError::VmUnreachable;
+  }
+  return success();
 }
 
 Result<Vm>
--- a/libs/ctl/src/VmSession.h
+++ b/libs/ctl/src/VmSession.h
@@ -28,7 +28,7 @@
 
   /**
    * Queries all masticwall VMs in parallel; returns their statuses, sorted by name.
-   * `hasReplied` is false for a VM whose request failed or was stalled for 1.5 s. Fails
+   * `hasReplied` is false for a VM whose request failed or took longer than 1.5 s. Fails
    * with CtlError::VmListUnreachable.
    */
   Result<std::vector<VmStatus>> statuses();
--- a/libs/http/tests/EndlessBytesTest.cpp
+++ b/libs/http/tests/EndlessBytesTest.cpp
@@ -1,3 +1,4 @@
+#include <EndlessServer.h>
 #include <QEventLoop>
 #include <QTcpServer>
 #include <QTcpSocket>
@@ -9,100 +10,10 @@
 
 using namespace masticwall;
 using namespace masticwall::http;
+using namespace masticwall::test;
 
 namespace {
 
-/** Sends a beginning, then a unit again and again until the connection ends. */
-struct EndlessScript
-{
-  const char* name;
-  QByteArray beginning;
-  QByteArray unit;
-};
-
-const QByteArray kFiller(qsizetype{ 8 * kKiB }, 'x');
-
-std::vector<EndlessScript>
-endlessScripts()
-{
-  const QByteArray head = "HTTP/1.1 200 OK\r\nRequest-Id: own\r\n";
-  return {
-    { "no HTTP at all", "", kFiller },
-    { "a header line without end", head + "Long: ", kFiller },
-    { "header lines without end", head, "Line: value\r\n" },
-    { "a chunk's extension without end",
-      head + "Transfer-Encoding: chunked\r\n\r\n1;",
-      kFiller },
-    { "chunks with long extensions",
-      head + "Transfer-Encoding: chunked\r\n\r\n",
-      "1;" + kFiller + "\r\nx\r\n" },
-    { "chunks without end", head + "Transfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n" },
-    { "a trailer line without end",
-      head + "Transfer-Encoding: chunked\r\n\r\n0\r\nTrailer: ",
-      kFiller },
-    { "trailer lines without end",
-      head + "Transfer-Encoding: chunked\r\n\r\n0\r\n",
-      "Line: value\r\n" },
-    { "interim responses without end", "", "HTTP/1.1 100 Continue\r\n\r\n" },
-    { "responses to other requests without end",
-      "",
-      "HTTP/1.1 200 OK\r\nRequest-Id: other\r\nContent-Length: 2\r\n\r\nno" },
-    { "a body without length and end", head + "\r\n", kFiller },
-    { "a length beyond the limit",
-      head + "Content-Length: 99999999999\r\n\r\n",
-      kFiller },
-  };
-}
-
-/** An upstream that plays a script to each connection, as fast as it is read. */
-class EndlessUpstream
-{
-public:
-  explicit EndlessUpstream(EndlessScript aScript)
-    : mScript(std::move(aScript))
-  {
-    QObject::connect(&mServer, &QTcpServer::newConnection, &mServer, [this] {
-      auto* const socket = mServer.nextPendingConnection();
-      QObject::connect(
-        socket, &QTcpSocket::disconnected, socket, [this] { isClosed = true; });
-      QObject::connect(socket, &QTcpSocket::readyRead, socket, [this, socket] {
-        socket->readAll();
-        write(*socket, mScript.beginning);
-        writeUnits(*socket);
-      });
-      QObject::connect(socket, &QTcpSocket::bytesWritten, socket, [this, socket] {
-        writeUnits(*socket);
-      });
-    });
-    mServer.listen(QHostAddress::LocalHost);
-  }
-
-  std::uint16_t port() const { return mServer.serverPort(); }
-
-  bool isClosed = false;
-  qint64 bytesSent = 0; ///< up to what the sockets buffer
-
-private:
-  static constexpr qint64 kMaxUnwritten = 64 * kKiB;
-
-  void write(QTcpSocket& aSocket, const QByteArray& aBytes)
-  {
-    bytesSent += aBytes.size();
-    aSocket.write(aBytes);
-  }
-
-  void writeUnits(QTcpSocket& aSocket)
-  {
-    while (aSocket.state() == QTcpSocket::ConnectedState &&
-           aSocket.bytesToWrite() < kMaxUnwritten) {
-      write(aSocket, mScript.unit);
-    }
-  }
-
-  QTcpServer mServer;
-  EndlessScript mScript;
-};
-
 constexpr std::uint64_t kMaxBodyBytes = 256 * kKiB;
 constexpr Duration kTimeout =
   30s; ///< of the exchange; the bounds on bytes act long before
@@ -113,7 +24,7 @@
 {
   for (const auto& script : endlessScripts()) {
     CAPTURE(script.name);
-    EndlessUpstream upstream(script);
+    EndlessServer upstream(script);
     TimerService timers;
     UpstreamConnectionPool pool(timers, 2);
     Exchange exchange;
--- a/libs/service/include/service/LogClient.h
+++ b/libs/service/include/service/LogClient.h
@@ -16,8 +16,7 @@
  * loop, which also calls the callbacks.
  *
  * Each appended record must contain a unique id, so that readers can detect duplicates:
- * an append may take effect although its response is lost, and Qt's HTTP client may send
- * it twice.
+ * an append may take effect although its response is lost, and may be sent twice.
  */
 class LogClient
 {
@@ -30,8 +29,8 @@
   ~LogClient();
 
   /**
-   * Appends a record; calls back with its offset or a ServiceError. Fails if no bytes are
-   * transferred for `aTimeout`.
+   * Appends a record; calls back with its offset or a ServiceError. Fails if it takes
+   * longer than `aTimeout`; see ServiceHttp.
    */
   void append(const std::string& aStream,
               const QByteArray& aData,
@@ -40,8 +39,8 @@
 
   /**
    * Reads records from offset `aFrom` on; if there is none yet, the log service waits up
-   * to `aWait` for one (long poll). Calls back with a page or a ServiceError. Fails if no
-   * bytes are transferred for `aTimeout`, which must be longer than `aWait`.
+   * to `aWait` for one (long poll). Calls back with a page or a ServiceError. Fails if it
+   * takes longer than `aTimeout`, which must be longer than `aWait`; see ServiceHttp.
    */
   void read(const std::string& aStream,
             std::uint64_t aFrom,
--- a/libs/service/include/service/ServiceError.h
+++ b/libs/service/include/service/ServiceError.h
@@ -8,7 +8,7 @@
 enum class ServiceError
 {
   Unreachable = 1, ///< no complete response; an append may have taken effect
-  Refused,         ///< a status other than 200 and 304
+  Refused,         ///< a status other than 200, 202 and 304
   NotModified,     ///< unchanged since the last fetch
   BadResponse,     ///< a response that doesn't have the documented format
 };
--- a/libs/service/include/service/ServiceHttp.h
+++ b/libs/service/include/service/ServiceHttp.h
@@ -1,28 +1,33 @@
 #pragma once
 
 #include <QByteArray>
-#include <QNetworkAccessManager>
 #include <QUrl>
 #include <core/Result.h>
 #include <core/Time.h>
 #include <functional>
+#include <http/UpstreamConnectionPool.h>
+#include <memory>
+#include <runtime/TimerService.h>
 
 namespace masticwall {
 
 /**
- * HTTP client for the platform's services, without redirects, cookies, caches and
- * credentials. Requests must be idempotent, since Qt may send one twice. After a request
- * that got no complete response, all cached connections are dropped, so that the next
- * request opens a new one. Not thread-safe; its thread must run a Qt event loop, which
- * also calls the callbacks.
+ * HTTP client for the platform's services, at URLs of the form http://IP:PORT/PATH.
+ * Requests must be idempotent: one whose connection ends without a response, as an idle
+ * one may when it is used again, is sent once more. A response is read by the rules of
+ * those of upstreams, and its bytes are bounded. Not thread-safe; its thread must run a
+ * Qt event loop, which also calls the callbacks.
  */
 class ServiceHttp
 {
 public:
-  /** Gets the body of a response with status 200, or a ServiceError. */
+  /** Gets the body of a response with status 200 or 202, or a ServiceError. */
   using Callback = std::function<void(Result<QByteArray>)>;
 
-  /** A request fails if no bytes are transferred for `aTimeout`. */
+  ServiceHttp();
+
+  /** A request fails if connecting, or the response from the first byte of the request to
+   * its last, takes longer than `aTimeout`. */
   void get(const QUrl& aUrl, Duration aTimeout, Callback aCallback);
 
   /**
@@ -40,9 +45,22 @@
             Callback aCallback);
 
 private:
-  void callWhenFinished(QNetworkReply* aReply, Callback aCallback);
+  enum class Resend : std::uint8_t
+  {
+    Never,
+    Once,
+  };
+
+  using OnResponse = std::function<void(const Result<http::Response>&)>;
+
+  void send(const QUrl& aUrl,
+            const http::Request& aRequest,
+            Duration aTimeout,
+            Resend aResend,
+            const OnResponse& aDone);
 
-  QNetworkAccessManager mNetwork;
+  TimerService mTimers;
+  http::UpstreamConnectionPool mConnections;
 };
 
 } // namespace masticwall
--- a/libs/service/src/ServiceHttp.cpp
+++ b/libs/service/src/ServiceHttp.cpp
@@ -1,5 +1,5 @@
-#include <QNetworkReply>
-#include <QNetworkRequest>
+#include <core/Bytes.h>
+#include <http/ExchangeError.h>
 #include <service/ServiceError.h>
 #include <service/ServiceHttp.h>
 
@@ -8,54 +8,75 @@
 namespace {
 
 constexpr int kStatusOk = 200;
+constexpr int kStatusAccepted = 202;
 constexpr int kStatusNotModified = 304;
 
-QNetworkRequest
-makeRequest(const QUrl& aUrl, Duration aTimeout)
+/** Long polls keep connections in use. */
+constexpr int kMaxConnections = 6;
+
+/** A page of the log is the largest response. While it grows it takes up to three times
+ * its size. */
+constexpr std::uint64_t kMaxResponseBytes = 16 * kMiB;
+
+/** Of all responses that are being received. */
+constexpr std::size_t kMaxBufferedBytes = 2 * kMaxResponseBytes;
+
+http::Request
+makeRequest(const char* aMethod, const QUrl& aUrl)
 {
-  QNetworkRequest request(aUrl);
-  request.setAttribute(QNetworkRequest::RedirectPolicyAttribute,
-                       QNetworkRequest::ManualRedirectPolicy);
-  request.setAttribute(QNetworkRequest::CookieLoadControlAttribute,
-                       QNetworkRequest::Manual);
-  request.setAttribute(QNetworkRequest::CookieSaveControlAttribute,
-                       QNetworkRequest::Manual);
-  request.setAttribute(QNetworkRequest::AuthenticationReuseAttribute,
-                       QNetworkRequest::Manual);
-  request.setAttribute(QNetworkRequest::CacheLoadControlAttribute,
-                       QNetworkRequest::AlwaysNetwork);
-  request.setAttribute(QNetworkRequest::Http2AllowedAttribute, false);
-  request.setRawHeader("Accept-Encoding", "identity");
-  request.setTransferTimeout(static_cast<int>(toMilliseconds(aTimeout)));
+  http::Request request;
+  request.method = aMethod;
+  request.target = aUrl.path(QUrl::FullyEncoded).toStdString();
+  if (aUrl.hasQuery()) {
+    request.target += '?' + aUrl.query(QUrl::FullyEncoded).toStdString();
+  }
+  request.headers.push_back({ "Host", aUrl.authority().toStdString() });
   return request;
 }
 
+ServiceError
+toServiceError(const std::error_code& aExchangeError)
+{
+  return aExchangeError == ExchangeError::BadResponse ? ServiceError::BadResponse
+                                                      : ServiceError::Unreachable;
+}
+
+/** The body of a successful response. */
 Result<QByteArray>
-toResult(QNetworkReply& aReply)
+toBody(const Result<http::Response>& aResponse)
 {
-  const auto status = aReply.attribute(QNetworkRequest::HttpStatusCodeAttribute);
-  if (!status.isValid()) {
-    return ServiceError::Unreachable;
+  if (aResponse.has_error()) {
+    return aResponse.error();
   }
-  if (status.toInt() == kStatusNotModified) {
+  const auto& response = aResponse.value();
+  if (response.status == kStatusNotModified) {
     return ServiceError::NotModified;
   }
-  if (status.toInt() != kStatusOk) {
+  if (response.status != kStatusOk && response.status != kStatusAccepted) {
     return ServiceError::Refused;
   }
-  // The body may be cut off although the status has arrived.
-  if (aReply.error() != QNetworkReply::NoError) {
-    return ServiceError::Unreachable;
-  }
-  return aReply.readAll();
+  return QByteArray::fromStdString(response.body);
 }
 
 } // namespace
 
+ServiceHttp::ServiceHttp()
+  : mConnections(mTimers,
+                 kMaxConnections,
+                 std::make_shared<http::ByteBudget>(kMaxBufferedBytes))
+{
+}
+
 void
 ServiceHttp::get(const QUrl& aUrl, Duration aTimeout, Callback aCallback)
 {
-  callWhenFinished(mNetwork.get(makeRequest(aUrl, aTimeout)), std::move(aCallback));
+  send(aUrl,
+       makeRequest("GET", aUrl),
+       aTimeout,
+       Resend::Once,
+       [callback = std::move(aCallback)](const Result<http::Response>& aResponse) {
+         callback(toBody(aResponse));
+       });
 }
 
 void
@@ -64,17 +85,22 @@
                           Duration aTimeout,
                           Callback aCallback)
 {
-  auto request = makeRequest(aUrl, aTimeout);
+  auto request = makeRequest("GET", aUrl);
   if (!aTag.isEmpty()) {
-    request.setRawHeader("If-None-Match", aTag);
+    request.headers.push_back({ "If-None-Match", aTag.toStdString() });
   }
-  auto* const reply = mNetwork.get(request);
-  QObject::connect(reply, &QNetworkReply::finished, reply, [reply, &aTag] {
-    if (reply->error() == QNetworkReply::NoError && reply->hasRawHeader("ETag")) {
-      aTag = reply->rawHeader("ETag");
-    }
-  });
-  callWhenFinished(reply, std::move(aCallback));
+  send(aUrl,
+       request,
+       aTimeout,
+       Resend::Once,
+       [&aTag, callback = std::move(aCallback)](const Result<http::Response>& aResponse) {
+         const auto body = toBody(aResponse);
+         if (body.has_value()) {
+           const auto tag = http::findHeader(aResponse.value().headers, "ETag");
+           aTag = tag.empty() ? aTag : QByteArray(tag.data(), qsizetype(tag.size()));
+         }
+         callback(body);
+       });
 }
 
 void
@@ -83,27 +109,46 @@
                   Duration aTimeout,
                   Callback aCallback)
 {
-  auto request = makeRequest(aUrl, aTimeout);
-  request.setHeader(QNetworkRequest::ContentTypeHeader,
-                    QByteArrayLiteral("application/octet-stream"));
-  callWhenFinished(mNetwork.post(request, aBody), std::move(aCallback));
+  auto request = makeRequest("POST", aUrl);
+  request.headers.push_back({ "Content-Type", "application/octet-stream" });
+  request.body = aBody.toStdString();
+  send(aUrl,
+       request,
+       aTimeout,
+       Resend::Once,
+       [callback = std::move(aCallback)](const Result<http::Response>& aResponse) {
+         callback(toBody(aResponse));
+       });
 }
 
 void
-ServiceHttp::callWhenFinished(QNetworkReply* aReply, Callback aCallback)
+ServiceHttp::send(const QUrl& aUrl,
+                  const http::Request& aRequest,
+                  Duration aTimeout,
+                  Resend aResend,
+                  const OnResponse& aDone)
 {
-  QObject::connect(aReply,
-                   &QNetworkReply::finished,
-                   aReply,
-                   [this, aReply, callback = std::move(aCallback)] {
-                     aReply->deleteLater();
-                     const auto result = toResult(*aReply);
-                     if (result.has_error() &&
-                         result.error() == ServiceError::Unreachable) {
-                       mNetwork.clearConnectionCache();
-                     }
-                     callback(result);
-                   });
+  constexpr int kHttpPort = 80;
+  http::Exchange exchange;
+  exchange.host = QHostAddress(aUrl.host());
+  exchange.port = static_cast<std::uint16_t>(aUrl.port(kHttpPort));
+  exchange.request = aRequest;
+  exchange.limits.maxBodyBytes = kMaxResponseBytes;
+  exchange.allowCloseDelimited = true;
+  exchange.connectTimeout = aTimeout;
+  exchange.timeout = aTimeout;
+  exchange.done = [=, this](const http::ExchangeResult& aResult) {
+    if (aResult.error == ExchangeError::Closed && aResend == Resend::Once) {
+      send(aUrl, aRequest, aTimeout, Resend::Never, aDone);
+    } else if (aResult.error) {
+      mConnections.closeWhenIdle(QHostAddress(aUrl.host()),
+                                 static_cast<std::uint16_t>(aUrl.port(kHttpPort)));
+      aDone(toServiceError(aResult.error));
+    } else {
+      aDone(aResult.response);
+    }
+  };
+  mConnections.start(std::move(exchange));
 }
 
 } // namespace masticwall
--- a/tests/harness/TestSystem.cpp
+++ b/tests/harness/TestSystem.cpp
@@ -252,6 +252,9 @@
 QString
 TestSystem::vmListUrl(int aVm) const
 {
+  if (!mVmListUrl.isEmpty()) {
+    return mVmListUrl;
+  }
   const auto host = address(kVmListHost + (mPlan.vmListsDiffer ? aVm : 0));
   return QStringLiteral("http://%1:%2").arg(host.toString()).arg(kStandinPort);
 }
--- a/tests/harness/TestSystem.h
+++ b/tests/harness/TestSystem.h
@@ -78,6 +78,10 @@
   QByteArray vmListFor(int aVm) const;
   void putVmList(const std::string& aList);
 
+  /** The VM list service of masticwallctl, and of control processes from their next start
+   * on. */
+  void setVmListUrl(const QString& aUrl) { mVmListUrl = aUrl; }
+
   /** The state dump of a VM's entry process. */
   QJsonObject entryState(int aVm);
   QJsonObject controlState(int aVm);
@@ -130,6 +134,7 @@
   QJsonObject state(int aVm, quint16 aPort);
 
   SystemPlan mPlan;
+  QString mVmListUrl; ///< empty: of the stand-in
   QTemporaryDir mDirectory;
   int mNet;
   std::unique_ptr<ChildProcess> mLog;
--- a/tests/integration/ResourcesTest.cpp
+++ b/tests/integration/ResourcesTest.cpp
@@ -1,6 +1,6 @@
 #include "GatewaySystem.h"
 #include "Wait.h"
-#include <QFile>
+#include <PeakMemory.h>
 #include <QTcpSocket>
 #include <catch2/catch.hpp>
 #include <http/Serializer.h>
@@ -19,22 +19,6 @@
 /** As the users configure it. */
 constexpr qint64 kMaxBodyBytes = 64 * kMiB;
 
-/** The peak resident memory of a process, in KB. */
-qint64
-peakMemoryKb(qint64 aPid)
-{
-  QFile file(QStringLiteral("/proc/%1/status").arg(aPid));
-  if (!file.open(QIODevice::ReadOnly)) {
-    return -1;
-  }
-  for (const auto& line : file.readAll().split('\n')) {
-    if (line.startsWith("VmHWM:")) {
-      return line.mid(6).trimmed().split(' ').at(0).toLongLong();
-    }
-  }
-  return -1;
-}
-
 http::Request
 makeLookup(const std::string& aId, const http::HeaderList& aMore)
 {
