--- a/tests/harness/GatewaySystem.cpp
+++ b/tests/harness/GatewaySystem.cpp
@@ -9,11 +9,9 @@
 
 namespace {
 
-constexpr quint16 kStorePort = 8384;
 constexpr quint16 kUpstreamPort = 9000;
 constexpr quint16 kReadyPort = 8388;
 constexpr quint16 kPeerPort = 8382;
-constexpr int kStoreHost = 2;
 constexpr int kFirstGateway = 10;
 constexpr int kFirstUpstream = 100;
 
--- a/tests/harness/GatewaySystem.h
+++ b/tests/harness/GatewaySystem.h
@@ -18,6 +18,7 @@
 {
 public:
   static constexpr quint16 kFrontPort = 8381;
+  static constexpr quint16 kStorePort = 8384;
 
   GatewaySystem(int aGateways, int aUpstreams);
 
@@ -66,6 +67,10 @@
                    const std::string& aKey,
                    const std::string& aValue);
 
+  /** Ends the store, so that another server can take its place. */
+  void stopStore() { mStore->kill(); }
+  QHostAddress storeHost() const { return host(kStoreHost); }
+
   /** Changes the store's behaviour; returns the calls that it has had. */
   qint64 setStore(const std::string& aQuery = {});
   void setUpstream(int aIndex, const std::string& aQuery);
@@ -98,6 +103,8 @@
   std::string upstreamName(int aIndex) const;
 
 private:
+  static constexpr int kStoreHost = 2;
+
   static std::size_t at(int aIndex) { return static_cast<std::size_t>(aIndex); }
   void keepLog(int aIndex);
   QString logPath(int aIndex) const;
--- a/tests/support/EndlessServer.h
+++ b/tests/support/EndlessServer.h
@@ -19,9 +19,9 @@
 
 /** Bytes without end in each place of a response; "Request-Id: own" is in their heads. */
 inline std::vector<EndlessScript>
-endlessScripts()
+endlessScripts(qsizetype aFillerBytes = qsizetype{ 8 * kKiB })
 {
-  const QByteArray filler(qsizetype{ 8 * kKiB }, 'x');
+  const QByteArray filler(aFillerBytes, 'x');
   const QByteArray head = "HTTP/1.1 200 OK\r\nRequest-Id: own\r\n";
   return {
     { "no HTTP at all", "", filler },
@@ -53,7 +53,9 @@
 class EndlessServer
 {
 public:
-  explicit EndlessServer(EndlessScript aScript)
+  explicit EndlessServer(EndlessScript aScript,
+                         const QHostAddress& aHost = QHostAddress::LocalHost,
+                         std::uint16_t aPort = 0)
     : mScript(std::move(aScript))
   {
     QObject::connect(&mServer, &QTcpServer::newConnection, &mServer, [this] {
@@ -69,7 +71,7 @@
         writeUnits(*socket);
       });
     });
-    mServer.listen(QHostAddress::LocalHost);
+    mServer.listen(aHost, aPort);
   }
 
   std::uint16_t port() const { return mServer.serverPort(); }
