Show that a broken answer counts for nothing else, and that its upstream is avoided

Change: tests only. Signs in a broken answer (leaving, limit, hold-off, "not run", load) have no effect: an order gets 502 and has run once. An upstream that breaks all its answers gets under a quarter of the calls, as any that fails, and callers of lookups don't notice it.

--- a/tests/integration/BrokenAnswerTest.cpp
+++ b/tests/integration/BrokenAnswerTest.cpp
@@ -257,3 +257,72 @@
   CHECK(metrics.find("result=\"leaving\"") == std::string::npos);
   CHECK(metrics.find("result=\"limited\"") == std::string::npos);
 }
+
+TEST_CASE("what else a broken answer says counts for nothing")
+{
+  GatewaySystem system(1, 2);
+  REQUIRE(system.start());
+  const QByteArray signs = "{signs}Masticwall-Not-Executed: 1\r\nServer-Leaving: 1\r\n"
+                           "Server-Limit: 1\r\nRetry-After: 60\r\n"
+                           "Masticwall-Server-Load: 0,0,4,100\r\n";
+  for (const auto& it :
+       { BrokenAnswer{ "a status that is none",
+                       "HTTP/1.1 000 Odd\r\n" + signs + "Content-Length: 3\r\n\r\nodd" },
+         { "a refusal with a line that is no field",
+           "HTTP/1.1 503 Odd\r\n" + signs + "X Odd: 1\r\nContent-Length: 3\r\n\r\nodd" },
+         { "a refusal with a line that continues another",
+           "HTTP/1.1 503 Odd\r\n" + signs + " 1\r\nContent-Length: 3\r\n\r\nodd" },
+         { "a refusal whose coding is not known",
+           "HTTP/1.1 503 Odd\r\n" + signs +
+             "Transfer-Encoding: gzip\r\nContent-Length: 3\r\n\r\nodd" },
+         { "a refusal whose body is cut",
+           "HTTP/1.1 503 Odd\r\n" + signs +
+             "Transfer-Encoding: chunked\r\n\r\n3\r\nodd\r\nx\r\n" } }) {
+    checkNotPassedOn(system, it);
+  }
+  // The same as answers to load queries.
+  const auto health = "HTTP/1.1 000 Odd\r\nMasticwall-Instance-Id: i-0\r\n" +
+                      QByteArray(signs).replace("{signs}", "") +
+                      "Content-Length: 0\r\n\r\n";
+  system.setUpstream(
+    0, "hide_load=1&raw_health=" + health.toPercentEncoding().toStdString());
+  TestCaller caller(system.gatewayHost(0), GatewaySystem::kFrontPort);
+  for (int i = 0; i < 20; ++i) {
+    CHECK(isServed(caller, "GET", "query-" + std::to_string(i)));
+    runEventsFor(70); // until load reports are stale
+  }
+  const auto metrics = system.metrics(0);
+  for (const auto& sign : { "leaving", "limited", "held-off", "bad-retry-after" }) {
+    CAPTURE(sign);
+    CHECK(metrics.find("result=\"" + std::string(sign) + '"') == std::string::npos);
+  }
+}
+
+TEST_CASE("an upstream whose answers are all broken is avoided as any that fails")
+{
+  constexpr int kCalls = 100;
+  for (const auto& answer :
+       { withStatus("000"), withLine("X Odd: 1\r\n"), withLine("X: 1\r\n 2\r\n") }) {
+    CAPTURE(answer.toStdString());
+    GatewaySystem system(1, 2);
+    REQUIRE(system.start());
+    const auto before = system.ledgerOf(0).runsByKey.size();
+    system.setUpstream(0, "raw_answer=" + answer.toPercentEncoding().toStdString());
+    TestCaller caller(system.gatewayHost(0), GatewaySystem::kFrontPort);
+    int served = 0;
+    for (int i = 0; i < kCalls; ++i) {
+      served += isServed(caller, "POST", "order-" + std::to_string(i)) ? 1 : 0;
+    }
+    const auto tried = static_cast<int>(system.ledgerOf(0).runsByKey.size() - before);
+    CHECK(tried > 0);
+    CHECK(tried < kCalls / 4);
+    CHECK(served == kCalls - tried); // the rest: 502, having run there once
+    for (int i = 0; i < kCalls; ++i) {
+      CHECK(system.runsOf("order-" + std::to_string(i)) == 1);
+    }
+    // Callers of lookups don't notice it.
+    for (int i = 0; i < kCalls; ++i) {
+      CHECK(isServed(caller, "GET", "lookup-" + std::to_string(i)));
+    }
+  }
+}
