Reject a response that switches to another protocol

What callers saw: after "101 Switching Protocols", what the upstream sent next was read as the answer and passed on as 200.

Cause: 101 was skipped like any interim response. It is the last one of HTTP/1.1 on its connection (RFC 9110, 15.2.2): the bytes after it are of the protocol that the request asked for, and no request of ours asks for one (Upgrade is not forwarded).

Change: 101 is not interim for ResponseParser, and no status of a final response either.

--- a/libs/http/src/ResponseParser.cpp
+++ b/libs/http/src/ResponseParser.cpp
@@ -119,8 +119,10 @@
 
   bool isInterim() const
   {
+    // What follows 101 is of another protocol, which no request of ours asks for.
+    constexpr unsigned kSwitchingProtocols = 101;
     const auto code = parser->get().result_int();
-    return code >= 100 && code < 200;
+    return code >= 100 && code < 200 && code != kSwitchingProtocols;
   }
 
   bool isCloseDelimited() const
--- a/libs/http/tests/ResponseParserTest.cpp
+++ b/libs/http/tests/ResponseParserTest.cpp
@@ -88,6 +88,7 @@
     { "HTTP/1.1 099 Odd\r\n" + kEmpty, HttpError::BadStatus },
     { "HTTP/1.1 600 Odd\r\n" + kEmpty, HttpError::BadStatus },
     { "HTTP/1.1 999 Odd\r\n" + kEmpty, HttpError::BadStatus },
+    { "HTTP/1.1 101 Odd\r\n\r\n" + kOk + kEmpty, HttpError::BadStatus },
     { "HTTP/1.1 20 OK\r\n" + kEmpty, HttpError::BadStatus },
     { "HTTP/1.1 2000 OK\r\n" + kEmpty, HttpError::BadStatus },
     { "HTTP/1.1 -20 OK\r\n" + kEmpty, HttpError::BadStatus },
--- a/tests/integration/BrokenAnswerTest.cpp
+++ b/tests/integration/BrokenAnswerTest.cpp
@@ -326,3 +326,13 @@
     }
   }
 }
+
+TEST_CASE("an answer after a switch to another protocol does not reach the caller")
+{
+  GatewaySystem system(1, 2);
+  REQUIRE(system.start());
+  checkNotPassedOn(system,
+                   { "101 that nobody asked for",
+                     "HTTP/1.1 101 Odd\r\nUpgrade: odd\r\nConnection: upgrade\r\n\r\n" +
+                       withLine("X-Odd: 1\r\n") });
+}
