Log which upstream broke an answer, and how

What on-call saw: "error=bad-answer" for each broken answer to a call, whatever was wrong with it, and for answers to load queries a counter without a name.

Cause: PooledConnection dropped the parser's error; onLoadReply() logged no failure.

Change: ExchangeResult carries the error as `detail`; upstream-failed states it, so that masticwallctl explain does. load-query-failed is new, for broken answers only, bounded like every event. The parser tells fields, framing and status apart; requests are told as before.

Evidence: BrokenAnswerTest reads explain and the log of a real gateway for seven kinds of broken answers (23 checks; there was no such name before). UpstreamConnectionPoolTest: each kind with its detail, and no connection is used again, whatever its Keep-Alive says.

--- a/libs/entry/src/EntryWorkerLoadQueries.cpp
+++ b/libs/entry/src/EntryWorkerLoadQueries.cpp
@@ -1,5 +1,6 @@
 #include "EntryWorker.h"
 #include <http/ExchangeError.h>
+#include <telemetry/EventLog.h>
 
 // The part of EntryWorker that queries upstreams for their load before a call is sent.
 // Upstreams' load and speed change within milliseconds, and the responses to the calls of
@@ -123,6 +124,10 @@
   const auto now = mTimers.now();
   mTables.metrics.count(Counter::LoadQueries, aResult.error ? "failed" : "answered");
   logDiscardedResponses(aUpstream, "-", aResult);
+  if (aResult.error == ExchangeError::BadResponse) {
+    logEvent(LogEvent::LoadQueryFailed,
+             { { "upstream", aUpstream.name }, { "detail", aResult.detail.message() } });
+  }
   const bool wasSent = aResult.error != ExchangeError::NotSent;
   if (aResult.error && wasSent) {
     mTables.upstreams.reportUnreachable(aUpstream, now);
--- a/libs/entry/src/EntryWorkerSending.cpp
+++ b/libs/entry/src/EntryWorkerSending.cpp
@@ -15,6 +15,13 @@
 /** Assumed size of a response, for the byte budget of the link between regions. */
 constexpr std::size_t kExpectedResponseBytes = 2048;
 
+/** What is wrong with a broken response; "-" for other failures. */
+std::string
+detailOf(const http::ExchangeResult& aResult)
+{
+  return aResult.detail ? aResult.detail.message() : "-";
+}
+
 } // namespace
 
 void
@@ -215,6 +222,7 @@
            { { "id", aCall.metadata.id },
              { "upstream", aCall.upstream->name },
              { "error", error.message() },
+             { "detail", detailOf(aResult) },
              { "may_have_run", aResult.mayHaveRun ? "yes" : "no" } });
   const bool isOwnLimit = error == ExchangeError::NoConnection;
   aCall.mayHaveRun = aCall.mayHaveRun || aResult.mayHaveRun;
--- a/libs/http/include/http/ExchangeResult.h
+++ b/libs/http/include/http/ExchangeResult.h
@@ -9,6 +9,7 @@
 struct ExchangeResult
 {
   std::error_code error;   ///< an ExchangeError; clear if `response` is complete
+  std::error_code detail;  ///< of BadResponse: what is wrong with it, an HttpError
   bool mayHaveRun = false; ///< the first byte of the request may have been sent
   Response response;
   int discardedResponses =
--- a/libs/http/include/http/HttpError.h
+++ b/libs/http/include/http/HttpError.h
@@ -15,6 +15,8 @@
   Surplus,               ///< received bytes that belong to no request
   UnknownTransferCoding, ///< a transfer coding other than "chunked"
   BadStatus,             ///< no status of a response
+  BadField,              ///< a line of a head is no field
+  BadFraming,            ///< fields or chunks that don't tell where the message ends
   FoldedField,           ///< a line of a head continues the one before it
   Unframed, ///< a response without a length, delimited by the connection's close
 };
@@ -23,7 +25,7 @@
 struct EnumTable<HttpError>
 {
   static constexpr const char* kCategory = "http";
-  static constexpr std::array<EnumName<HttpError>, 10> kEntries{ {
+  static constexpr std::array<EnumName<HttpError>, 12> kEntries{ {
     { HttpError::Malformed, "malformed" },
     { HttpError::HeaderTooLarge, "header-too-large" },
     { HttpError::BodyTooLarge, "body-too-large" },
@@ -32,6 +34,8 @@
     { HttpError::Surplus, "surplus" },
     { HttpError::UnknownTransferCoding, "unknown-transfer-coding" },
     { HttpError::BadStatus, "bad-status" },
+    { HttpError::BadField, "bad-field" },
+    { HttpError::BadFraming, "bad-framing" },
     { HttpError::FoldedField, "folded-field" },
     { HttpError::Unframed, "unframed" },
   } };
--- a/libs/http/src/PooledConnection.cpp
+++ b/libs/http/src/PooledConnection.cpp
@@ -43,6 +43,7 @@
   mExchange = std::move(aExchange);
   mIsRequestWritten = false;
   mDiscardedResponses = 0;
+  mErrorDetail.clear();
   if (mIsConnected) {
     writeRequest();
     return;
@@ -173,7 +174,7 @@
   while (mExchange.has_value()) {
     auto response = mParser->feed(mBytes);
     if (response.has_error()) {
-      finish(ExchangeError::BadResponse, {});
+      failBadResponse(response.error());
       return;
     }
     if (!response.value().has_value()) {
@@ -193,7 +194,7 @@
     // A late or unexpected response to another request; the right one may follow.
     mHasUnexpectedData = true;
     if (++mDiscardedResponses > kMaxDiscardedResponses) {
-      finish(ExchangeError::BadResponse, {});
+      failBadResponse(HttpError::Surplus);
       return;
     }
     resetParser();
@@ -202,7 +203,7 @@
   mHasUnexpectedData = mHasUnexpectedData || !mBytes.isEmpty();
   if (mHasUnexpectedData && isMatchingResponse == nullptr) {
     // The bytes after the response belong to no request, so it may not be the right one.
-    finish(ExchangeError::BadResponse, {});
+    failBadResponse(HttpError::Surplus);
     return;
   }
   finish({}, std::move(aResponse));
@@ -250,7 +251,18 @@
   } else {
     mObserver(*this);
   }
-  done({ aError, mIsRequestWritten, std::move(aResponse), mDiscardedResponses });
+  done({ aError,
+         mErrorDetail,
+         mIsRequestWritten,
+         std::move(aResponse),
+         mDiscardedResponses });
+}
+
+void
+PooledConnection::failBadResponse(std::error_code aDetail)
+{
+  mErrorDetail = aDetail;
+  finish(ExchangeError::BadResponse, {});
 }
 
 void
--- a/libs/http/src/PooledConnection.h
+++ b/libs/http/src/PooledConnection.h
@@ -63,6 +63,9 @@
   void writeRequest();
   void resetParser();
   void finish(std::error_code aError, Response aResponse);
+
+  /** Ends the exchange with BadResponse. `aDetail`: what is wrong with the response. */
+  void failBadResponse(std::error_code aDetail);
   void close();
 
   TimerService& mTimers;
@@ -72,6 +75,7 @@
   Observer mObserver;
   std::uint64_t mExchangeId = 0;
   std::optional<Exchange> mExchange;
+  std::error_code mErrorDetail; ///< of this exchange; see ExchangeResult
   std::optional<ResponseParser> mParser;
   QByteArray mBytes;
   BufferedBytes mBuffered;
--- a/libs/http/src/ResponseParser.cpp
+++ b/libs/http/src/ResponseParser.cpp
@@ -1,7 +1,9 @@
 #include "BeastMessage.h"
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <http/ResponseParser.h>
+#include <utility>
 
 namespace masticwall::http {
 
@@ -31,6 +33,28 @@
                                           : std::nullopt;
 }
 
+/** As toHttpError(), but tells what is malformed. */
+HttpError
+toResponseError(const boost::system::error_code& aCode)
+{
+  using beast::error;
+  static constexpr std::array<std::pair<error, HttpError>, 7> kErrors{ {
+    { error::bad_status, HttpError::BadStatus },
+    { error::bad_field, HttpError::BadField },
+    { error::bad_value, HttpError::BadField },
+    { error::bad_content_length, HttpError::BadFraming },
+    { error::bad_transfer_encoding, HttpError::BadFraming },
+    { error::bad_chunk, HttpError::BadFraming },
+    { error::bad_chunk_extension, HttpError::BadFraming },
+  } };
+  for (const auto& [code, error] : kErrors) {
+    if (aCode == code) {
+      return error;
+    }
+  }
+  return toHttpError(aCode);
+}
+
 /** Whether a line begins with a blank or a tab, and so continues the one before it. */
 bool
 hasFoldedLine(std::string_view aLines)
@@ -63,13 +87,7 @@
     }
   }
   aBytes.remove(0, consumed);
-  if (ec == beast::error::need_more) {
-    return {};
-  }
-  if (ec == beast::error::bad_status) {
-    return HttpError::BadStatus;
-  }
-  return ec ? toHttpError(ec) : std::error_code();
+  return ec && ec != beast::error::need_more ? toResponseError(ec) : std::error_code();
 }
 
 } // namespace
@@ -114,7 +132,7 @@
       parser->eager(true);
     }
     const auto ec = feedParser(*parser, aBytes);
-    return ec ? toHttpError(ec) : std::error_code();
+    return ec ? toResponseError(ec) : std::error_code();
   }
 
   bool isInterim() const
@@ -140,7 +158,7 @@
   {
     const auto& message = parser->get();
     if (const auto error = checkFraming(message)) {
-      return *error;
+      return *error == HttpError::Malformed ? HttpError::BadFraming : *error;
     }
     if (isInterim()) {
       return {};
--- a/libs/http/src/UpstreamConnectionPool.cpp
+++ b/libs/http/src/UpstreamConnectionPool.cpp
@@ -199,7 +199,7 @@
       timers.scheduleAfter(Duration{ 0 }, [this, aId, done = std::move(aDone)] {
         const auto callback = done;
         pendingErrors.erase(aId);
-        callback({ ExchangeError::NoConnection, false, {}, 0 });
+        callback({ ExchangeError::NoConnection, {}, false, {}, 0 });
       });
   }
 };
--- a/libs/http/tests/UpstreamConnectionPoolTest.cpp
+++ b/libs/http/tests/UpstreamConnectionPoolTest.cpp
@@ -118,6 +118,36 @@
   CHECK(result.mayHaveRun);
 }
 
+TEST_CASE("a connection that brought a broken response is not reused")
+{
+  struct Broken
+  {
+    QByteArray response;
+    HttpError detail;
+  };
+  const QByteArray end = "Keep-Alive: timeout=9\r\nContent-Length: 2\r\n\r\nno";
+  for (const auto& it :
+       { Broken{ "HTTP/1.1 000 Odd\r\n" + end, HttpError::BadStatus },
+         Broken{ "HTTP/1.1 200 OK\r\nX Y: 1\r\n" + end, HttpError::BadField },
+         Broken{ "HTTP/1.1 200 OK\r\nX: 1\r\n 2\r\n" + end, HttpError::FoldedField },
+         Broken{ "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n" + end,
+                 HttpError::UnknownTransferCoding },
+         Broken{ "HTTP/1.1 200 OK\r\n" + end + "more", HttpError::Surplus } }) {
+    CAPTURE(it.response.toStdString());
+    Server server(it.response);
+    TimerService timers;
+    UpstreamConnectionPool pool(timers, 2);
+    for (int i = 1; i <= 2; ++i) {
+      const auto result = runExchange(pool, makeExchange(server));
+      CHECK(result.error == ExchangeError::BadResponse);
+      CHECK(result.detail == it.detail);
+      CHECK(result.mayHaveRun);
+      CHECK(pool.connectionCount() == 0);
+      CHECK(server.connections == i);
+    }
+  }
+}
+
 TEST_CASE("a connection whose exchange timed out is not reused")
 {
   Server server("");
--- a/libs/telemetry/include/telemetry/LogEvent.h
+++ b/libs/telemetry/include/telemetry/LogEvent.h
@@ -30,6 +30,7 @@
   ControlLost,       ///< the entry process lost the connection to its control process
   ControlFound,      ///< the entry process is connected to its control process
   UpstreamFailed,    ///< an attempt at a call failed
+  LoadQueryFailed,   ///< an upstream's response to a load query is broken
   ResponseDiscarded, ///< an upstream sent responses that belong to no request
   UpstreamLeaving,   ///< an upstream's response says that it is shutting down
   UpstreamHeldOff,   ///< an upstream wants no requests for a time
@@ -65,7 +66,7 @@
 template<>
 struct EnumTable<LogEvent>
 {
-  static constexpr std::array<EnumName<LogEvent>, 52> kEntries{ {
+  static constexpr std::array<EnumName<LogEvent>, 53> kEntries{ {
     { LogEvent::Started, "started" },
     { LogEvent::Stopped, "stopped" },
     { LogEvent::StopRequested, "stop-requested" },
@@ -88,6 +89,7 @@
     { LogEvent::ControlLost, "control-lost" },
     { LogEvent::ControlFound, "control-found" },
     { LogEvent::UpstreamFailed, "upstream-failed" },
+    { LogEvent::LoadQueryFailed, "load-query-failed" },
     { LogEvent::ResponseDiscarded, "response-discarded" },
     { LogEvent::UpstreamLeaving, "upstream-leaving" },
     { LogEvent::UpstreamHeldOff, "upstream-held-off" },
--- a/tests/integration/BrokenAnswerTest.cpp
+++ b/tests/integration/BrokenAnswerTest.cpp
@@ -336,3 +336,47 @@
                      "HTTP/1.1 101 Odd\r\nUpgrade: odd\r\nConnection: upgrade\r\n\r\n" +
                        withLine("X-Odd: 1\r\n") });
 }
+
+TEST_CASE("logs and masticwallctl say which upstream broke an answer, and how")
+{
+  struct Told
+  {
+    const char* detail;
+    QByteArray answer;
+  };
+  const QByteArray head = "HTTP/1.1 200 OK\r\n{signs}";
+  const std::vector<Told> cases{
+    { "bad-status", withStatus("000") },
+    { "bad-field", withLine("X Odd: 1\r\n") },
+    { "folded-field", withLine("X-Odd: 1\r\n 2\r\n") },
+    { "unknown-transfer-coding", withLine("Transfer-Encoding: gzip\r\n") },
+    { "bad-framing", withLine("Content-Length: 2\r\n") },
+    { "body-too-large", head + "Content-Length: 99999999\r\n\r\n" },
+    { "malformed", "no HTTP\r\n\r\n" },
+  };
+  GatewaySystem system(1, 1);
+  REQUIRE(system.start());
+  for (const auto& it : cases) {
+    CAPTURE(it.detail);
+    const auto id = std::string("odd-") + it.detail;
+    CHECK(statusOf(system.call(0, "POST", "/order/1", id, askFor(it.answer))) == 502);
+    const auto story = system.explain(id);
+    CAPTURE(story.toStdString());
+    CHECK(story.contains(
+      QStringLiteral("upstream=i-0 error=bad-answer detail=%1 may_have_run=yes")
+        .arg(QString::fromLatin1(it.detail))));
+    CHECK(story.contains(QStringLiteral("outcome=unknown reason=upstream-failed")));
+  }
+  // An answer to a load query has no id that could be explained.
+  const QByteArray health = "HTTP/1.1 200 OK\r\nX: 1\r\n 2\r\nContent-Length: 0\r\n\r\n";
+  system.gateway(0).standardOutput();
+  system.setUpstream(
+    0, "hide_load=1&raw_health=" + health.toPercentEncoding().toStdString());
+  QString log;
+  CHECK(waitUntil([&] {
+    system.call(0, "GET", "/read/1", "query");
+    log += system.gateway(0).standardOutput();
+    return log.contains(
+      QStringLiteral("event=load-query-failed upstream=i-0 detail=folded-field"));
+  }));
+}
