Let the soak's upstreams break answers, and its callers report broken ones

Cause: SoakCaller reads with the product's parser, and took bytes that it rejects for an answer that was cut, which breaks no promise but in a planned stop. Had a gateway passed a status 000 on, the soak would have held. No upstream of the soak broke an answer in its head.

Change: 3 of 100 requests ask their upstream for one of four broken answers; bytes that are no answer break the promise of the own whole answer. BrokenAnswerTest also asks that a 502 bears no signature.

--- a/tests/integration/BrokenAnswerTest.cpp
+++ b/tests/integration/BrokenAnswerTest.cpp
@@ -78,6 +78,7 @@
     REQUIRE(response.has_value());
     CHECK(response->statusLine.starts_with("HTTP/1.1 " + aStatus + ' '));
     CHECK_FALSE(response->field("Content-Length").empty());
+    CHECK(response->field("Masticwall-Server-Signature").empty());
     for (const auto& line : response->fieldLines) {
       CHECK(line.find("Odd") == std::string::npos);
     }
--- a/tests/soak/SoakCaller.cpp
+++ b/tests/soak/SoakCaller.cpp
@@ -1,6 +1,8 @@
 #include "SoakCaller.h"
 #include "GatewaySystem.h"
 #include "TestCaller.h"
+#include <QByteArray>
+#include <array>
 #include <core/Bytes.h>
 #include <http/Serializer.h>
 
@@ -11,6 +13,8 @@
 constexpr double kOrders = 0.4; ///< share of the requests
 constexpr double kPipeliningCallers = 0.3;
 constexpr double kLeaving = 0.01; ///< share of the requests whose caller leaves
+constexpr double kBroken =
+  0.03; ///< share of the requests whose upstream breaks its answer
 constexpr std::size_t kMaxUnanswered = 4;
 constexpr int kMeanServiceMs = 20;
 constexpr Duration kMaxPause = 60ms;
@@ -29,6 +33,14 @@
                        { "Test-Service-Ms", std::to_string(aServiceMs) } });
 }
 
+/** Answers that must not reach a caller, as Test-Raw-Answer asks for them. */
+const std::array<QByteArray, 4> kBrokenAnswers{
+  "HTTP/1.1 000 Odd\r\n{signs}Content-Length: 3\r\n\r\nodd",
+  "HTTP/1.1 200 OK\r\n{signs}X Odd: 1\r\nContent-Length: 3\r\n\r\nodd",
+  "HTTP/1.1 200 OK\r\n{signs}X-Odd: 1\r\n 2\r\nContent-Length: 3\r\n\r\nodd",
+  "HTTP/1.1 200 OK\r\n{signs}Transfer-Encoding: gzip\r\nContent-Length: 3\r\n\r\nodd",
+};
+
 std::string
 expectedBody(const SoakRequest& aRequest)
 {
@@ -114,7 +126,13 @@
   request.sentAt = mTimers.now();
   const auto serviceMs =
     1 + std::uniform_int_distribution<int>(0, 2 * kMeanServiceMs)(mRandom);
-  mSocket->write(http::serialize(makeSoakRequest(request, serviceMs)));
+  auto message = makeSoakRequest(request, serviceMs);
+  if (draw(kBroken)) {
+    const auto& answer = kBrokenAnswers[mNextRequest % kBrokenAnswers.size()];
+    message.headers.push_back(
+      { "Test-Raw-Answer", answer.toPercentEncoding().toStdString() });
+  }
+  mSocket->write(http::serialize(message));
   mSocket->flush();
   mUnanswered.push_back(request);
   mGiveUpTimer = mTimers.scheduleAfter(kMaxWait, [this] { leave(); });
@@ -138,7 +156,7 @@
     }
     auto response = mParser->feed(mBytes);
     if (response.has_error()) {
-      mSocket->abort();
+      onBrokenAnswer();
       return;
     }
     if (!response.value().has_value()) {
@@ -149,6 +167,21 @@
   }
 }
 
+void
+SoakCaller::onBrokenAnswer()
+{
+  SoakRequest request;
+  request.id = mName + "-surplus";
+  request.gateway = mGateway;
+  if (!mUnanswered.empty()) {
+    request = mUnanswered.front();
+    mUnanswered.pop_front();
+  }
+  request.isBroken = true;
+  finish(request);
+  mSocket->abort();
+}
+
 void
 SoakCaller::onAnswer(const http::Response& aResponse)
 {
--- a/tests/soak/SoakCaller.h
+++ b/tests/soak/SoakCaller.h
@@ -47,6 +47,7 @@
   void onAnswer(const http::Response& aResponse);
   void onDisconnected();
   void finish(SoakRequest aRequest);
+  void onBrokenAnswer();
   void leave();
   bool draw(double aShare)
   {
--- a/tests/soak/SoakRequest.h
+++ b/tests/soak/SoakRequest.h
@@ -15,6 +15,7 @@
   Instant endedAt;
   int status = 0;             ///< 0: the connection ended without an answer
   bool isOwn = false;         ///< a success with this request's id and body
+  bool isBroken = false;      ///< bytes came that are no answer
   bool isBehindClose = false; ///< sent behind an answer that closes the connection
   bool wasGivenUp = false;    ///< the caller left
 };
--- a/tests/soak/SoakRun.cpp
+++ b/tests/soak/SoakRun.cpp
@@ -467,6 +467,9 @@
     if (it.isOrder && promisesNotRun(it.status) && runs > 0) {
       fail(SoakPromise::NotRunIsTrue, "answered " + std::to_string(it.status), it.id);
     }
+    if (it.isBroken) {
+      fail(SoakPromise::OwnWholeAnswer, "bytes that are no answer", it.id);
+    }
     if (it.status == 200 && !it.isOwn) {
       fail(SoakPromise::OwnWholeAnswer, "another answer, or a part of it", it.id);
     }
