Show that a body without end between our processes ends its connection

No fault found; handled before, nothing changed. PeerTest: a reply and a request beyond the bound end the connection, the request fails, the handler doesn't see such a body, and the next request is served on a new connection.

--- a/libs/peer/tests/PeerTest.cpp
+++ b/libs/peer/tests/PeerTest.cpp
@@ -2,6 +2,7 @@
 #include <QTcpServer>
 #include <QTcpSocket>
 #include <catch2/catch.hpp>
+#include <core/Bytes.h>
 #include <peer/PeerClient.h>
 #include <peer/PeerError.h>
 #include <peer/PeerServer.h>
@@ -59,6 +60,30 @@
   }
 }
 
+TEST_CASE(
+  "a body beyond the limit ends the connection, and the next request opens another")
+{
+  constexpr qsizetype kTooLarge = 17 * kMiB;
+  TimerService timers;
+  int requests = 0;
+  const auto server =
+    listen(timers,
+           [&](const std::string&,
+               const QByteArray& aBody,
+               const PeerServer::ReplyCallback& aReply) {
+             ++requests;
+             aReply(aBody == "large" ? QByteArray(kTooLarge, 'x') : aBody);
+           });
+  PeerClient client(
+    timers, QHostAddress(QHostAddress::LocalHost), server->port(), kShortTimeouts);
+  CHECK(sendRequest(client, "large").error() == PeerError::Lost);
+  CHECK(sendRequest(client, "small").value() == "small");
+  CHECK(requests == 2);
+  CHECK(sendRequest(client, QByteArray(kTooLarge, 'x')).has_error());
+  CHECK(requests == 2);
+  CHECK(sendRequest(client, "small").value() == "small");
+}
+
 TEST_CASE(
   "a refused request, a timeout and a failed connection each have their own error")
 {
