--- a/libs/entry/src/EntryWorkerSending.cpp
+++ b/libs/entry/src/EntryWorkerSending.cpp
@@ -222,8 +222,8 @@
            { { "id", aCall.metadata.id },
              { "upstream", aCall.upstream->name },
              { "error", error.message() },
-             { "detail", detailOf(aResult) },
-             { "may_have_run", aResult.mayHaveRun ? "yes" : "no" } });
+             { "may_have_run", aResult.mayHaveRun ? "yes" : "no" },
+             { "detail", detailOf(aResult) } });
   const bool isOwnLimit = error == ExchangeError::NoConnection;
   aCall.mayHaveRun = aCall.mayHaveRun || aResult.mayHaveRun;
   const auto upstream = *aCall.upstream;
--- a/libs/http/include/http/ResponseParser.h
+++ b/libs/http/include/http/ResponseParser.h
@@ -9,7 +9,11 @@
 
 namespace masticwall::http {
 
-/** Parses one response incrementally from received bytes. Not thread-safe. */
+/**
+ * Parses one response incrementally from received bytes, by the rules of RFC 9110 (15)
+ * and RFC 9112 (4 to 7), without continued lines; the fields of a trailer are dropped.
+ * Not thread-safe.
+ */
 class ResponseParser
 {
 public:
--- a/libs/http/include/http/Status.h
+++ b/libs/http/include/http/Status.h
@@ -14,9 +14,9 @@
 class Status
 {
 public:
-  /** A constant; one that is no status of a final response does not compile. */
-  consteval Status(
-    int aCode) // NOLINT(google-explicit-constructor): stands for the number
+  /** A constant, also without being named; one that is no status of a final response does
+   * not compile. */
+  consteval Status(int aCode)
     : mCode(aCode)
   {
     if (!isFinal(aCode)) {
--- a/libs/service/include/service/ServiceHttp.h
+++ b/libs/service/include/service/ServiceHttp.h
@@ -12,11 +12,12 @@
 namespace masticwall {
 
 /**
- * HTTP client for the platform's services, at URLs of the form http://IP:PORT/PATH.
- * Requests must be idempotent: one whose connection ends without a response, as an idle
- * one may when it is used again, is sent once more. A response is read by the rules of
- * those of upstreams, and its bytes are bounded. Not thread-safe; its thread must run a
- * Qt event loop, which also calls the callbacks.
+ * HTTP client for the platform's services, at URLs of the form http://IP:PORT/PATH; the
+ * IP is of version 4, and services at other hosts are unreachable. Requests must be
+ * idempotent: one whose connection ends without a response, as an idle one may when it is
+ * used again, is sent once more. A response is read by the rules of those of upstreams,
+ * and its bytes are bounded. Not thread-safe; its thread must run a Qt event loop, which
+ * also calls the callbacks.
  */
 class ServiceHttp
 {
--- a/libs/service/src/ServiceHttp.cpp
+++ b/libs/service/src/ServiceHttp.cpp
@@ -31,9 +31,25 @@
     request.target += '?' + aUrl.query(QUrl::FullyEncoded).toStdString();
   }
   request.headers.push_back({ "Host", aUrl.authority().toStdString() });
+  request.headers.push_back({ "Accept-Encoding", "identity" });
   return request;
 }
 
+/** The address of an URL's host; null if that is no IP of version 4. */
+QHostAddress
+addressOf(const QUrl& aUrl)
+{
+  const QHostAddress address(aUrl.host());
+  return address.protocol() == QAbstractSocket::IPv4Protocol ? address : QHostAddress();
+}
+
+std::uint16_t
+portOf(const QUrl& aUrl)
+{
+  constexpr int kHttpPort = 80;
+  return static_cast<std::uint16_t>(aUrl.port(kHttpPort));
+}
+
 ServiceError
 toServiceError(const std::error_code& aExchangeError)
 {
@@ -128,10 +144,9 @@
                   Resend aResend,
                   const OnResponse& aDone)
 {
-  constexpr int kHttpPort = 80;
   http::Exchange exchange;
-  exchange.host = QHostAddress(aUrl.host());
-  exchange.port = static_cast<std::uint16_t>(aUrl.port(kHttpPort));
+  exchange.host = addressOf(aUrl);
+  exchange.port = portOf(aUrl);
   exchange.request = aRequest;
   exchange.limits.maxBodyBytes = kMaxResponseBytes;
   exchange.allowCloseDelimited = true;
@@ -141,8 +156,7 @@
     if (aResult.error == ExchangeError::Closed && aResend == Resend::Once) {
       send(aUrl, aRequest, aTimeout, Resend::Never, aDone);
     } else if (aResult.error) {
-      mConnections.closeWhenIdle(QHostAddress(aUrl.host()),
-                                 static_cast<std::uint16_t>(aUrl.port(kHttpPort)));
+      mConnections.closeWhenIdle(addressOf(aUrl), portOf(aUrl));
       aDone(toServiceError(aResult.error));
     } else {
       aDone(aResult.response);
--- a/libs/service/tests/ServiceHttpTest.cpp
+++ b/libs/service/tests/ServiceHttpTest.cpp
@@ -143,6 +143,11 @@
   CHECK(server.requests.endsWith("\r\n\r\nbody"));
   CHECK(server.requests.contains("Content-Type: application/octet-stream\r\n"));
 
+  const QUrl named(QStringLiteral("http://localhost:%1/").arg(server.port()));
+  const auto unreachable = run([&](auto aDone) { http.get(named, kTimeout, aDone); });
+  REQUIRE(unreachable.has_value());
+  CHECK(unreachable->error() == ServiceError::Unreachable);
+
   FixedServer unchanged("HTTP/1.1 304 Not Modified\r\n\r\n");
   CHECK(get(http, unchanged.port())->error() == ServiceError::NotModified);
   FixedServer refusing("HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n");
--- a/tests/harness/GatewaySystem.cpp
+++ b/tests/harness/GatewaySystem.cpp
@@ -181,6 +181,19 @@
   post(host(kFirstUpstream + aIndex), kUpstreamPort, "/standin?" + aQuery, {});
 }
 
+http::Request
+GatewaySystem::makeCall(const std::string& aMethod,
+                        const std::string& aPath,
+                        const std::string& aId,
+                        const http::HeaderList& aMore)
+{
+  http::HeaderList headers{ { "Host", "a.example" },
+                            { "Masticwall-Request-Id", aId },
+                            { "Masticwall-Request-Deadline", "2000" } };
+  headers.insert(headers.end(), aMore.begin(), aMore.end());
+  return makeRequest(aMethod, aPath, headers);
+}
+
 std::optional<http::Response>
 GatewaySystem::call(int aGateway,
                     const std::string& aMethod,
@@ -188,12 +201,8 @@
                     const std::string& aId,
                     const http::HeaderList& aMore)
 {
-  http::HeaderList headers{ { "Host", "a.example" },
-                            { "Masticwall-Request-Id", aId },
-                            { "Masticwall-Request-Deadline", "2000" } };
-  headers.insert(headers.end(), aMore.begin(), aMore.end());
   return callOnce(
-    gatewayHost(aGateway), kFrontPort, makeRequest(aMethod, aPath, headers), 5000);
+    gatewayHost(aGateway), kFrontPort, makeCall(aMethod, aPath, aId, aMore), 5000);
 }
 
 QString
--- a/tests/harness/GatewaySystem.h
+++ b/tests/harness/GatewaySystem.h
@@ -75,6 +75,12 @@
   qint64 setStore(const std::string& aQuery = {});
   void setUpstream(int aIndex, const std::string& aQuery);
 
+  /** A caller's request. */
+  static http::Request makeCall(const std::string& aMethod,
+                                const std::string& aPath,
+                                const std::string& aId,
+                                const http::HeaderList& aMore = {});
+
   /** Sends one request on a connection of its own. */
   std::optional<http::Response> call(int aGateway,
                                      const std::string& aMethod,
--- a/tests/integration/BrokenAnswerTest.cpp
+++ b/tests/integration/BrokenAnswerTest.cpp
@@ -25,16 +25,14 @@
          " Odd\r\n{signs}X-Odd: 1\r\nContent-Length: 3\r\n\r\nodd";
 }
 
+/** A lookup, or an order. */
 http::Request
 makeCall(const std::string& aMethod,
          const std::string& aId,
          const http::HeaderList& aMore = {})
 {
-  http::HeaderList headers{ { "Host", "a.example" },
-                            { "Masticwall-Request-Id", aId },
-                            { "Masticwall-Request-Deadline", "2000" } };
-  headers.insert(headers.end(), aMore.begin(), aMore.end());
-  return makeRequest(aMethod, aMethod == "POST" ? "/order/1" : "/read/1", headers);
+  const auto* const path = aMethod == "POST" ? "/order/1" : "/read/1";
+  return GatewaySystem::makeCall(aMethod, path, aId, aMore);
 }
 
 http::HeaderList
@@ -364,7 +362,7 @@
     const auto story = system.explain(id);
     CAPTURE(story.toStdString());
     CHECK(story.contains(
-      QStringLiteral("upstream=i-0 error=bad-answer detail=%1 may_have_run=yes")
+      QStringLiteral("upstream=i-0 error=bad-answer may_have_run=yes detail=%1")
         .arg(QString::fromLatin1(it.detail))));
     CHECK(story.contains(QStringLiteral("outcome=unknown reason=upstream-failed")));
   }
--- a/tests/integration/EndlessAnswerTest.cpp
+++ b/tests/integration/EndlessAnswerTest.cpp
@@ -40,16 +40,14 @@
   return aBytes.toPercentEncoding().toStdString();
 }
 
+/** A lookup, or an order. */
 http::Request
 makeCall(const std::string& aMethod,
          const std::string& aId,
          const http::HeaderList& aMore = {})
 {
-  http::HeaderList headers{ { "Host", "a.example" },
-                            { "Masticwall-Request-Id", aId },
-                            { "Masticwall-Request-Deadline", "2000" } };
-  headers.insert(headers.end(), aMore.begin(), aMore.end());
-  return makeRequest(aMethod, aMethod == "POST" ? "/order/1" : "/read/1", headers);
+  const auto* const path = aMethod == "POST" ? "/order/1" : "/read/1";
+  return GatewaySystem::makeCall(aMethod, path, aId, aMore);
 }
 
 /** Whether a lookup and an order of others get their answers. */
