--- a/tests/integration/BrokenAnswerTest.cpp
+++ b/tests/integration/BrokenAnswerTest.cpp
@@ -338,13 +338,13 @@
 
 TEST_CASE("logs and masticwallctl say which upstream broke an answer, and how")
 {
-  struct Told
+  struct LoggedAnswer
   {
     const char* detail;
     QByteArray answer;
   };
   const QByteArray head = "HTTP/1.1 200 OK\r\n{signs}";
-  const std::vector<Told> cases{
+  const std::vector<LoggedAnswer> cases{
     { "bad-status", withStatus("000") },
     { "bad-field", withLine("X Odd: 1\r\n") },
     { "folded-field", withLine("X-Odd: 1\r\n 2\r\n") },
