Part the pool of upstreams by what it decides

Cause: UpstreamPool held membership, slow upstreams, back-off, slow start, eligibility and choice in one type of 764 lines, and evacuated data centres, cold upstreams, allowed regions and placing are to be added to them. Change: SlowUpstreams, FailureBackOff, SlowStart, CandidateFinder and ScoredUpstream are types of their own, behaviour unchanged; a CandidateFilter says which upstreams a call may get, by region as well. The pool keeps the membership.

--- a/libs/decide/include/decide/UpstreamPool.h
+++ b/libs/decide/include/decide/UpstreamPool.h
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <decide/AgedLoad.h>
 #include <decide/AttemptOutcome.h>
+#include <decide/CandidateFinder.h>
 #include <decide/CandidateSelection.h>
 #include <decide/EstimatedLatency.h>
 #include <decide/FewestInFlight.h>
@@ -13,12 +14,11 @@
 #include <decide/LoadQueryScope.h>
 #include <decide/PermitCandidate.h>
 #include <decide/RequestLimits.h>
+#include <decide/ScoredUpstream.h>
 #include <decide/ServiceAvailability.h>
 #include <decide/SlotShare.h>
 #include <limits>
-#include <memory>
 #include <string_view>
-#include <vector>
 
 namespace masticwall {
 
@@ -39,23 +39,18 @@
   void update(const std::vector<UpstreamAddress>& aAddresses, int aSlots, Instant aNow);
 
   /**
-   * Selects an upstream in `aRegion` (empty: in any) by `aPolicy` and counts a call in
-   * flight to it; null if none is eligible. EstimatedLatency selects at random here, as
-   * it needs a Locality; use chooseLowestLatency() for it. Not eligible are upstreams
-   * that are leaving, held off, or named in `aExcluded` (as already tried for this call),
-   * those with `aMaxInFlight` calls (fewer during slow start), and slow ones between
-   * trial calls, and those with a request limit and no permit left. Upstreams in back-off
-   * are used only if no other is eligible.
+   * Selects an eligible upstream (see CandidateFinder) in `aRegion` (empty: in any) by
+   * `aPolicy` and counts a call in flight to it; null if there is none. EstimatedLatency
+   * selects at random here, as it needs a Locality; use chooseLowestLatency() for it.
    */
   template<RandomSource R>
   const UpstreamState* choose(LoadBalancingPolicy aPolicy,
                               std::string_view aRegion,
-                              int aMaxInFlight,
-                              const std::vector<std::string>& aExcluded,
+                              const CandidateFilter& aFilter,
                               Instant aNow,
                               R& aRandom)
   {
-    auto candidates = findCandidates(aRegion, aMaxInFlight, aExcluded, aNow);
+    auto candidates = finder().find(aRegion, aFilter, aNow);
     if (candidates.empty()) {
       return nullptr;
     }
@@ -71,15 +66,15 @@
   template<RandomSource R>
   const UpstreamState* chooseLowestLatency(const Locality& aLocality,
                                            const LatencyLimit& aLimit,
-                                           int aMaxInFlight,
-                                           const std::vector<std::string>& aExcluded,
+                                           const CandidateFilter& aFilter,
                                            Instant aNow,
                                            R& aRandom)
   {
     UpstreamState* best = nullptr;
     auto bestScore = std::numeric_limits<double>::max();
-    const auto candidates = findCandidates({}, aMaxInFlight, aExcluded, aNow);
-    for (const auto& it : scoreCandidates(candidates, aLocality, aNow, aRandom)) {
+    const auto candidates = finder().find({}, aFilter, aNow);
+    for (const auto& it :
+         scoreCandidates(candidates, estimator(aLocality), aNow, aRandom)) {
       if (it.score < bestScore && isWithin(it.estimate, aLimit)) {
         best = it.state;
         bestScore = it.score;
@@ -92,11 +87,9 @@
   }
 
   /** True if any upstream is eligible, whatever its estimated latency. */
-  bool hasCandidate(int aMaxInFlight,
-                    const std::vector<std::string>& aExcluded,
-                    Instant aNow)
+  bool hasCandidate(const CandidateFilter& aFilter, Instant aNow) const
   {
-    return !findCandidates({}, aMaxInFlight, aExcluded, aNow).empty();
+    return !finder().find({}, aFilter, aNow).empty();
   }
 
   /**
@@ -105,17 +98,15 @@
    * request, so those with a request limit are left out.
    */
   template<RandomSource R>
-  std::vector<UpstreamAddress> staleTopCandidates(
-    const Locality& aLocality,
-    int aMaxInFlight,
-    const std::vector<std::string>& aExcluded,
-    const LoadQueryScope& aScope,
-    Duration aMaxReportAge,
-    Instant aNow,
-    R& aRandom)
+  std::vector<UpstreamAddress> staleTopCandidates(const Locality& aLocality,
+                                                  const CandidateFilter& aFilter,
+                                                  const LoadQueryScope& aScope,
+                                                  Duration aMaxReportAge,
+                                                  Instant aNow,
+                                                  R& aRandom) const
   {
     auto ranked = scoreCandidates(
-      findCandidates({}, aMaxInFlight, aExcluded, aNow), aLocality, aNow, aRandom);
+      finder().find({}, aFilter, aNow), estimator(aLocality), aNow, aRandom);
     std::sort(ranked.begin(),
               ranked.end(),
               [](const ScoredUpstream& aLeft, const ScoredUpstream& aRight) {
@@ -144,30 +135,32 @@
    * no permit left. Empty if the best one is eligible, or none of them may be asked for.
    */
   template<RandomSource R>
-  std::optional<PermitCandidate> permitCandidate(
-    const Locality& aLocality,
-    const LatencyLimit& aLimit,
-    Rank aRank,
-    int aMaxInFlight,
-    const std::vector<std::string>& aExcluded,
-    Instant aNow,
-    R& aRandom)
+  std::optional<PermitCandidate> permitCandidate(const Locality& aLocality,
+                                                 const LatencyLimit& aLimit,
+                                                 Rank aRank,
+                                                 const CandidateFilter& aFilter,
+                                                 Instant aNow,
+                                                 R& aRandom) const
   {
-    const auto limited = findPermitCandidates(aRank, aMaxInFlight, aExcluded, aNow);
+    if (mRequestLimits.isEmpty()) {
+      return std::nullopt;
+    }
+    const auto limited = finder().findLimited(aRank, aFilter, aNow);
     if (limited.empty()) {
       return std::nullopt;
     }
+    const auto scorer = estimator(aLocality);
     auto bestScore = std::numeric_limits<double>::max();
     bool hasAlternative = false;
-    const auto eligible = findCandidates({}, aMaxInFlight, aExcluded, aNow);
-    for (const auto& it : scoreCandidates(eligible, aLocality, aNow, aRandom)) {
+    const auto eligible = finder().find({}, aFilter, aNow);
+    for (const auto& it : scoreCandidates(eligible, scorer, aNow, aRandom)) {
       if (isWithin(it.estimate, aLimit)) {
         hasAlternative = hasAlternative || it.estimate.queueing <= 0.0;
         bestScore = std::min(bestScore, it.score);
       }
     }
     const UpstreamState* best = nullptr;
-    for (const auto& it : scoreCandidates(limited, aLocality, aNow, aRandom)) {
+    for (const auto& it : scoreCandidates(limited, scorer, aNow, aRandom)) {
       if (it.score < bestScore && isWithin(it.estimate, aLimit)) {
         best = it.state;
         bestScore = it.score;
@@ -249,8 +242,11 @@
   /** The regions that have upstreams, after `aLocalRegion`, which always comes first. */
   std::vector<std::string> regions(std::string_view aLocalRegion) const;
 
-  /** Median of the upstreams' mean latencies; a default while too few have samples. */
-  Duration typicalProcessingTime() const;
+  /** See SlowUpstreams::typicalProcessingTime(). */
+  Duration typicalProcessingTime() const
+  {
+    return mSlowUpstreams.typicalProcessingTime();
+  }
 
   /** Total slots of the upstreams in `aRegion` that are not leaving. */
   int slotsIn(std::string_view aRegion) const;
@@ -259,37 +255,12 @@
   std::vector<UpstreamState> snapshot() const;
 
 private:
-  /** Scores are multiplied by a random factor from 1 up to this. */
-  static constexpr double kMaxJitterFactor = 1.2;
+  CandidateFinder finder() const { return { mStates, mSlowUpstreams }; }
 
-  /** An upstream and the estimated latency of a call there. */
-  struct ScoredUpstream
+  /** `aLocality` must outlive the result. */
+  EstimatedLatency estimator(const Locality& aLocality) const
   {
-    UpstreamState* state = nullptr;
-    LatencyEstimate estimate;
-    double score = 0.0; ///< the sum of the estimate's parts, with jitter; in seconds
-  };
-
-  template<RandomSource R>
-  std::vector<ScoredUpstream> scoreCandidates(
-    const std::vector<UpstreamState*>& aCandidates,
-    const Locality& aLocality,
-    Instant aNow,
-    R& aRandom)
-  {
-    const EstimatedLatency estimator{ aLocality,
-                                      typicalProcessingTime(),
-                                      mMeanProcessingTimePercent };
-    // Without jitter, all processes with the same load reports would select the same
-    // upstream.
-    std::uniform_real_distribution<double> jitter(1.0, kMaxJitterFactor);
-    std::vector<ScoredUpstream> scored;
-    for (auto* const it : aCandidates) {
-      const auto estimate = estimator.estimate(*it, aNow);
-      const auto sum = estimate.queueing + estimate.processing + estimate.distancePenalty;
-      scored.push_back({ it, estimate, sum * jitter(aRandom) });
-    }
-    return scored;
+    return { aLocality, typicalProcessingTime(), mMeanProcessingTimePercent };
   }
 
   bool isWithin(const LatencyEstimate& aEstimate, const LatencyLimit& aLimit) const
@@ -326,48 +297,17 @@
     return chooseRandom(aCandidates, aRandom);
   }
 
-  /** The upstreams that are eligible for a call; see choose(). */
-  std::vector<UpstreamState*> findCandidates(std::string_view aRegion,
-                                             int aMaxInFlight,
-                                             const std::vector<std::string>& aExcluded,
-                                             Instant aNow);
-
-  /** The upstreams for which permits may be requested; otherwise eligible. */
-  std::vector<UpstreamState*> findPermitCandidates(
-    Rank aRank,
-    int aMaxInFlight,
-    const std::vector<std::string>& aExcluded,
-    Instant aNow);
-
-  /** Whether the upstream has room for a call that has not tried it. */
-  bool hasRoom(const UpstreamState& aState,
-               int aMaxInFlight,
-               const std::vector<std::string>& aExcluded,
-               Instant aNow) const;
-
   /** Counts a call in flight, and takes a permit if one is needed. */
   void startCall(UpstreamState& aState, Instant aNow);
 
-  UpstreamState* find(std::string_view aName);
+  UpstreamState* find(std::string_view aName) const;
   UpstreamState* findInstance(const UpstreamAddress& aUpstream) const;
 
-  /** True if the mean latency exceeds kSlowFactor times the median of the upstreams. */
-  bool isSlow(const UpstreamState& aState) const;
-
-  /** If the upstream is slow, bars further calls to it until its next trial call. */
-  void scheduleNextTrial(UpstreamState& aState, Instant aNow);
-  /**
-   * Adds a sample to the mean latency. The first sample, and the first one of a slow
-   * upstream that is no longer slow, replace the mean.
-   */
-  void recordLatency(UpstreamState& aState, Duration aLatency);
-  void updateMedianLatency();
-
-  std::vector<std::unique_ptr<UpstreamState>> mStates;
+  UpstreamStates mStates;
+  SlowUpstreams mSlowUpstreams;
   LeavingInstances mLeavingInstances;
   HoldOffs mHoldOffs;
   RequestLimits mRequestLimits;
-  Duration mMedianLatency{ 0 }; ///< of the upstreams' mean latencies; 0: too few samples
   double mMeanProcessingTimePercent =
     100.0; ///< moving average of LoadReport::processingTimePercent
 };
--- /dev/null
+++ b/libs/decide/src/CandidateFinder.cpp
@@ -0,0 +1,46 @@
+#include <decide/CandidateFinder.h>
+#include <decide/SlowStart.h>
+
+namespace masticwall {
+
+std::vector<UpstreamState*>
+CandidateFinder::find(std::string_view aRegion,
+                      const CandidateFilter& aFilter,
+                      Instant aNow) const
+{
+  std::vector<UpstreamState*> available;
+  std::vector<UpstreamState*> backingOff;
+  for (const auto& it : states) {
+    const bool isInRegion = aRegion.empty() || it->address.region == aRegion;
+    if (isInRegion && it->acceptsRequests(aNow) && hasRoom(*it, aFilter, aNow)) {
+      (it->backOffUntil > aNow ? backingOff : available).push_back(it.get());
+    }
+  }
+  return available.empty() ? backingOff : available;
+}
+
+std::vector<UpstreamState*>
+CandidateFinder::findLimited(Rank aRank,
+                             const CandidateFilter& aFilter,
+                             Instant aNow) const
+{
+  std::vector<UpstreamState*> candidates;
+  for (const auto& it : states) {
+    if (it->mayRequestPermit(aRank, aNow) && it->backOffUntil <= aNow &&
+        hasRoom(*it, aFilter, aNow)) {
+      candidates.push_back(it.get());
+    }
+  }
+  return candidates;
+}
+
+bool
+CandidateFinder::hasRoom(const UpstreamState& aState,
+                         const CandidateFilter& aFilter,
+                         Instant aNow) const
+{
+  return aFilter.allows(aState.address) && !slowUpstreams.isBetweenTrials(aState, aNow) &&
+         aState.inFlight < SlowStart::limit(aState, aFilter.maxInFlight, aNow);
+}
+
+} // namespace masticwall
--- a/libs/decide/src/UpstreamPool.cpp
+++ b/libs/decide/src/UpstreamPool.cpp
@@ -1,3 +1,5 @@
+#include <decide/FailureBackOff.h>
+#include <decide/SlowStart.h>
 #include <decide/UpstreamPool.h>
 #include <utility>
 
@@ -5,56 +7,12 @@
 
 namespace {
 
-constexpr Duration kInitialBackOff = std::chrono::milliseconds(100);
-constexpr Duration kMaxBackOff = std::chrono::seconds(5);
-constexpr int kMaxBackOffDoublings = 6; ///< reaches kMaxBackOff; bounds the shift
-constexpr Duration kShedBackOff = std::chrono::milliseconds(20);
-constexpr Duration kSlowStartPeriod = std::chrono::seconds(2);
-
-/** Moving averages: a new sample has a weight of 1 / divisor. */
-constexpr int kLatencyWeightDivisor = 8;
+/** In the moving average of the load a new report has a weight of 1 / divisor. */
 constexpr int kLoadWeightDivisor = 4;
 
 /** Weight of a new sample in the moving average of the reported processing times. */
 constexpr double kProcessingTimePercentWeight = 1.0 / 32.0;
 
-/** Used while too few upstreams have latency samples. */
-constexpr Duration kDefaultProcessingTime = std::chrono::milliseconds(100);
-
-/** An upstream is slow if its mean latency exceeds this multiple of the median. */
-constexpr int kSlowFactor = 3;
-/** Fewer samples don't make an upstream slow, nor count for the median. */
-constexpr int kMinLatencySamples = 3;
-constexpr std::size_t kMinUpstreamsForMedian = 3;
-
-/** Failures in a row, of any kind, from which a 5xx response starts a back-off. */
-constexpr int kFailuresToBackOffOnError = 2;
-
-/** A slow upstream gets one call per period from this process, to detect its recovery. */
-constexpr Duration kTrialPeriod = std::chrono::seconds(2);
-
-Duration
-backOffAfter(int aFailuresInARow)
-{
-  const auto doublings = std::min(aFailuresInARow - 1, kMaxBackOffDoublings);
-  return std::min(kInitialBackOff * (1 << doublings), kMaxBackOff);
-}
-
-/**
- * Limit of calls in flight to an upstream. During slow start it rises from one call
- * towards one more than the upstream's slots; afterwards it is `aMaxInFlight`.
- */
-int
-slowStartLimit(const UpstreamState& aState, int aMaxInFlight, Instant aNow)
-{
-  const auto age = std::max(Duration{ 0 }, aNow - aState.slowStartAt);
-  if (age >= kSlowStartPeriod) {
-    return aMaxInFlight;
-  }
-  return std::min<int>(aMaxInFlight,
-                       1 + static_cast<int>(aState.slots * age / kSlowStartPeriod));
-}
-
 } // namespace
 
 void
@@ -78,7 +36,7 @@
     } else {
       state = std::make_unique<UpstreamState>();
       // Upstreams of the first list were running before this process: no slow start.
-      state->slowStartAt = isFirstList ? aNow - kSlowStartPeriod : aNow;
+      state->slowStartAt = isFirstList ? aNow - SlowStart::kPeriod : aNow;
     }
     state->address = it;
     state->slots = std::max(1, it.slots > 0 ? it.slots : aSlots);
@@ -103,28 +61,22 @@
   state->inFlight = std::max(0, state->inFlight - 1);
   switch (aOutcome) {
     case AttemptOutcome::Answered:
-      state->failuresInARow = 0;
-      state->backOffUntil = Instant{};
-      recordLatency(*state, aLatency);
+      FailureBackOff::onAnswered(*state);
+      mSlowUpstreams.recordLatency(*state, aLatency, mStates);
       return;
     case AttemptOutcome::ErrorResponse:
-      // A single error may be caused by the request, consecutive ones by the upstream.
       // The latency is not recorded: errors are often fast and don't show the normal
       // latency.
-      ++state->failuresInARow;
-      if (state->failuresInARow >= kFailuresToBackOffOnError) {
-        state->backOffUntil =
-          aNow + backOffAfter(state->failuresInARow - kFailuresToBackOffOnError + 1);
-      }
+      FailureBackOff::onErrorResponse(*state, aNow);
       return;
     case AttemptOutcome::Shed:
-      state->backOffUntil = aNow + kShedBackOff;
+      FailureBackOff::onShed(*state, aNow);
       return;
     case AttemptOutcome::Failed:
       // A fast failure must not lower the mean latency.
-      recordLatency(*state, std::max(aLatency, state->meanLatency));
-      ++state->failuresInARow;
-      state->backOffUntil = aNow + backOffAfter(state->failuresInARow);
+      mSlowUpstreams.recordLatency(
+        *state, std::max(aLatency, state->meanLatency), mStates);
+      FailureBackOff::onFailure(*state, aNow);
       return;
     case AttemptOutcome::Cancelled:
       return;
@@ -149,8 +101,7 @@
 UpstreamPool::reportUnreachable(std::string_view aName, Instant aNow)
 {
   if (auto* const state = find(aName)) {
-    ++state->failuresInARow;
-    state->backOffUntil = aNow + backOffAfter(state->failuresInARow);
+    FailureBackOff::onFailure(*state, aNow);
   }
 }
 
@@ -253,122 +204,18 @@
   return states;
 }
 
-Duration
-UpstreamPool::typicalProcessingTime() const
-{
-  return mMedianLatency > Duration{ 0 } ? mMedianLatency : kDefaultProcessingTime;
-}
-
-std::vector<UpstreamState*>
-UpstreamPool::findCandidates(std::string_view aRegion,
-                             int aMaxInFlight,
-                             const std::vector<std::string>& aExcluded,
-                             Instant aNow)
-{
-  std::vector<UpstreamState*> available;
-  std::vector<UpstreamState*> backingOff;
-  for (const auto& it : mStates) {
-    const bool isInRegion = aRegion.empty() || it->address.region == aRegion;
-    if (isInRegion && it->acceptsRequests(aNow) &&
-        hasRoom(*it, aMaxInFlight, aExcluded, aNow)) {
-      (it->backOffUntil > aNow ? backingOff : available).push_back(it.get());
-    }
-  }
-  return available.empty() ? backingOff : available;
-}
-
-std::vector<UpstreamState*>
-UpstreamPool::findPermitCandidates(Rank aRank,
-                                   int aMaxInFlight,
-                                   const std::vector<std::string>& aExcluded,
-                                   Instant aNow)
-{
-  std::vector<UpstreamState*> candidates;
-  if (mRequestLimits.isEmpty()) {
-    return candidates;
-  }
-  for (const auto& it : mStates) {
-    if (it->mayRequestPermit(aRank, aNow) && it->backOffUntil <= aNow &&
-        hasRoom(*it, aMaxInFlight, aExcluded, aNow)) {
-      candidates.push_back(it.get());
-    }
-  }
-  return candidates;
-}
-
-bool
-UpstreamPool::hasRoom(const UpstreamState& aState,
-                      int aMaxInFlight,
-                      const std::vector<std::string>& aExcluded,
-                      Instant aNow) const
-{
-  const auto& name = aState.address.name;
-  const bool isExcluded =
-    std::find(aExcluded.begin(), aExcluded.end(), name) != aExcluded.end();
-  const bool isBetweenTrials =
-    isSlow(aState) && (aState.inFlight > 0 || aNow < aState.nextTrialAt);
-  return !isExcluded && !isBetweenTrials &&
-         aState.inFlight < slowStartLimit(aState, aMaxInFlight, aNow);
-}
-
 void
 UpstreamPool::startCall(UpstreamState& aState, Instant aNow)
 {
   ++aState.inFlight;
-  scheduleNextTrial(aState, aNow);
+  mSlowUpstreams.scheduleNextTrial(aState, aNow);
   if (aState.requestLimit.has_value()) {
     aState.permits.tryTake(aNow);
   }
 }
 
-bool
-UpstreamPool::isSlow(const UpstreamState& aState) const
-{
-  return aState.latencySamples >= kMinLatencySamples && mMedianLatency > Duration{ 0 } &&
-         aState.meanLatency > kSlowFactor * mMedianLatency;
-}
-
-void
-UpstreamPool::scheduleNextTrial(UpstreamState& aState, Instant aNow)
-{
-  if (isSlow(aState)) {
-    aState.nextTrialAt = aNow + kTrialPeriod;
-  }
-}
-
-void
-UpstreamPool::recordLatency(UpstreamState& aState, Duration aLatency)
-{
-  const bool hasRecovered = isSlow(aState) && aLatency <= kSlowFactor * mMedianLatency;
-  if (hasRecovered || aState.latencySamples == 0) {
-    aState.meanLatency = aLatency;
-  } else {
-    aState.meanLatency += (aLatency - aState.meanLatency) / kLatencyWeightDivisor;
-  }
-  ++aState.latencySamples;
-  updateMedianLatency();
-}
-
-void
-UpstreamPool::updateMedianLatency()
-{
-  std::vector<Duration> means;
-  for (const auto& it : mStates) {
-    if (it->latencySamples >= kMinLatencySamples) {
-      means.push_back(it->meanLatency);
-    }
-  }
-  if (means.size() < kMinUpstreamsForMedian) {
-    mMedianLatency = Duration{ 0 };
-    return;
-  }
-  const auto middle = means.begin() + static_cast<std::ptrdiff_t>(means.size() / 2);
-  std::nth_element(means.begin(), middle, means.end());
-  mMedianLatency = *middle;
-}
-
 UpstreamState*
-UpstreamPool::find(std::string_view aName)
+UpstreamPool::find(std::string_view aName) const
 {
   const auto it = std::find_if(mStates.begin(), mStates.end(), [&](const auto& aState) {
     return aState->address.name == aName;
--- a/libs/decide/tests/EstimatedLatencyTest.cpp
+++ b/libs/decide/tests/EstimatedLatencyTest.cpp
@@ -54,7 +54,7 @@
   std::string choose(Duration aMaxTotal = 10s, Duration aMaxQueueing = 10s)
   {
     const auto* const chosen = mPool.chooseLowestLatency(
-      mLocality, { aMaxTotal, aMaxQueueing }, kMaxInFlight, {}, mTime.now(), mRandom);
+      mLocality, { aMaxTotal, aMaxQueueing }, { kMaxInFlight }, mTime.now(), mRandom);
     return chosen == nullptr ? "" : chosen->address.name;
   }
 
@@ -62,7 +62,7 @@
   std::vector<UpstreamAddress> staleCandidates(std::size_t aCount, int aSlots = 0)
   {
     return mPool.staleTopCandidates(
-      mLocality, kMaxInFlight, {}, { aCount, aSlots }, 60ms, mTime.now(), mRandom);
+      mLocality, { kMaxInFlight }, { aCount, aSlots }, 60ms, mTime.now(), mRandom);
   }
 
   test::ManualClock& time() { return mTime; }
--- a/libs/decide/tests/HoldOffsTest.cpp
+++ b/libs/decide/tests/HoldOffsTest.cpp
@@ -29,7 +29,7 @@
   std::string choose(Instant aNow)
   {
     const auto* const chosen =
-      pool.choose(LoadBalancingPolicy::FewestInFlight, "sertao", 15, {}, aNow, random);
+      pool.choose(LoadBalancingPolicy::FewestInFlight, "sertao", { 15 }, aNow, random);
     return chosen == nullptr ? "" : chosen->address.name;
   }
 
@@ -120,7 +120,7 @@
   const Locality locality{ "sertao", "petrolina", 0ms, 0ms };
   const auto countStale = [&] {
     return vm.pool
-      .staleTopCandidates(locality, 15, {}, { 8, 100 }, 0ms, clock.now(), vm.random)
+      .staleTopCandidates(locality, { 15 }, { 8, 100 }, 0ms, clock.now(), vm.random)
       .size();
   };
   CHECK(countStale() == 2);
--- a/libs/decide/tests/LimitedUpstreamsTest.cpp
+++ b/libs/decide/tests/LimitedUpstreamsTest.cpp
@@ -40,14 +40,14 @@
   std::string send(const LatencyLimit& aLimit = {})
   {
     const auto* const state =
-      pool.chooseLowestLatency(locality, aLimit, kMaxInFlight, {}, clock.now(), random);
+      pool.chooseLowestLatency(locality, aLimit, { kMaxInFlight }, clock.now(), random);
     return state == nullptr ? std::string() : state->address.name;
   }
 
   std::optional<PermitCandidate> candidate(Rank aRank = Rank::Standard)
   {
     return pool.permitCandidate(
-      locality, {}, aRank, kMaxInFlight, {}, clock.now(), random);
+      locality, {}, aRank, { kMaxInFlight }, clock.now(), random);
   }
 
   ManualClock clock;
@@ -67,7 +67,7 @@
   service.pool.addPermits(
     LimitedService::upstream("a"), { 2, {} }, Rank::Standard, service.clock.now());
   const auto stale = service.pool.staleTopCandidates(
-    service.locality, kMaxInFlight, {}, {}, 0ms, service.clock.now(), service.random);
+    service.locality, { kMaxInFlight }, {}, 0ms, service.clock.now(), service.random);
   CHECK(stale.empty());
   CHECK(service.send() == "a");
   CHECK(service.send() == "a");
--- a/libs/decide/tests/UpstreamPoolTest.cpp
+++ b/libs/decide/tests/UpstreamPoolTest.cpp
@@ -28,7 +28,7 @@
                      const std::vector<std::string>& aExcluded = {})
   {
     const auto* const chosen =
-      mPool.choose(aPolicy, "sertao", kMaxInFlight, aExcluded, mTime.now(), mRandom);
+      mPool.choose(aPolicy, "sertao", { kMaxInFlight, aExcluded }, mTime.now(), mRandom);
     return chosen == nullptr ? "" : chosen->address.name;
   }
 
--- a/libs/tables/include/tables/UpstreamQuery.h
+++ b/libs/tables/include/tables/UpstreamQuery.h
@@ -16,6 +16,7 @@
   std::size_t bytes = 0; ///< expected traffic between regions, if sent to another one
   std::vector<std::string> excluded; ///< names of upstreams not to choose
   LatencyLimit limit; ///< of the estimated latency; for the policy EstimatedLatency
+  std::vector<std::string> allowedRegions{}; ///< of upstreams; empty: any
 };
 
 } // namespace masticwall
--- a/libs/tables/include/tables/UpstreamTable.h
+++ b/libs/tables/include/tables/UpstreamTable.h
@@ -109,6 +109,9 @@
                                       const UpstreamQuery& aQuery,
                                       Instant aNow);
 
+  /** A view of `aQuery`, which must outlive it. */
+  CandidateFilter filterFor(const UpstreamQuery& aQuery) const;
+
   /** Takes the query's bytes from the link's budget; false if it is exhausted. */
   bool reserveLinkBytes(const UpstreamQuery& aQuery, Instant aNow);
 
--- a/libs/tables/src/UpstreamTable.cpp
+++ b/libs/tables/src/UpstreamTable.cpp
@@ -33,14 +33,13 @@
 {
   std::scoped_lock lock(mMutex);
   auto& pool = mPools[aQuery.service];
+  const auto filter = filterFor(aQuery);
   const auto* const chosen =
     mPolicy == LoadBalancingPolicy::EstimatedLatency
-      ? pool.chooseLowestLatency(
-          mLocality, aQuery.limit, mMaxInFlight, aQuery.excluded, aNow, mRandom)
+      ? pool.chooseLowestLatency(mLocality, aQuery.limit, filter, aNow, mRandom)
       : chooseByRegion(pool, aQuery, aNow);
   if (chosen == nullptr) {
-    return pool.hasCandidate(mMaxInFlight, aQuery.excluded, aNow) ? CallError::Overload
-                                                                  : CallError::NoUpstream;
+    return pool.hasCandidate(filter, aNow) ? CallError::Overload : CallError::NoUpstream;
   }
   return UpstreamChoice{
     chosen->address, chosen->load, chosen->inFlight, chosen->requestLimit.has_value()
@@ -58,7 +57,7 @@
       continue;
     }
     const auto* const chosen =
-      aPool.choose(mPolicy, region, mMaxInFlight, aQuery.excluded, aNow, mRandom);
+      aPool.choose(mPolicy, region, filterFor(aQuery), aNow, mRandom);
     if (chosen != nullptr) {
       return chosen;
     }
@@ -78,7 +77,7 @@
 {
   std::scoped_lock lock(mMutex);
   return mPools[aQuery.service].staleTopCandidates(
-    mLocality, mMaxInFlight, aQuery.excluded, aScope, aMaxReportAge, aNow, mRandom);
+    mLocality, filterFor(aQuery), aScope, aMaxReportAge, aNow, mRandom);
 }
 
 void
@@ -134,7 +133,7 @@
 {
   std::scoped_lock lock(mMutex);
   return mPools[aQuery.service].permitCandidate(
-    mLocality, aQuery.limit, aQuery.rank, mMaxInFlight, aQuery.excluded, aNow, mRandom);
+    mLocality, aQuery.limit, aQuery.rank, filterFor(aQuery), aNow, mRandom);
 }
 
 void
@@ -194,6 +193,12 @@
   return states;
 }
 
+CandidateFilter
+UpstreamTable::filterFor(const UpstreamQuery& aQuery) const
+{
+  return { mMaxInFlight, aQuery.excluded, aQuery.allowedRegions };
+}
+
 bool
 UpstreamTable::reserveLinkBytes(const UpstreamQuery& aQuery, Instant aNow)
 {
--- a/tests/model/ModelEntry.cpp
+++ b/tests/model/ModelEntry.cpp
@@ -79,8 +79,12 @@
   std::vector<UpstreamAddress> stale;
   if (round < kQueryRounds) {
     const auto scope = LoadQueryScope::ofRound(mPreset.limits, round);
-    stale = mPool.staleTopCandidates(
-      mLocality, kMaxInFlight, call.excluded, scope, kMaxReportAge, mTime.now(), mRandom);
+    stale = mPool.staleTopCandidates(mLocality,
+                                     { kMaxInFlight, call.excluded },
+                                     scope,
+                                     kMaxReportAge,
+                                     mTime.now(),
+                                     mRandom);
   }
   if (stale.empty()) {
     send(aCall);
@@ -115,7 +119,7 @@
                                       call.request.deadline,
                                       mTime.now());
   const auto* const chosen = mPool.chooseLowestLatency(
-    mLocality, limit, kMaxInFlight, call.excluded, mTime.now(), mRandom);
+    mLocality, limit, { kMaxInFlight, call.excluded }, mTime.now(), mRandom);
   if (chosen == nullptr) {
     refuse(aCall);
     return;
