Decode tenants, allowed regions, warm-up rates and their bounds

Cause: the configurations and settings of the newer deployments hold them; nothing read them. Change: types for them in the preset and the settings, decoded in platform/; errors of a call for an unknown key and a used-up quota. Nothing acts on them yet. Result: ConfigDecoderTest and SettingsFileTest with the new fields pass.

--- a/libs/core/include/core/CallError.h
+++ b/libs/core/include/core/CallError.h
@@ -15,6 +15,8 @@
 {
   BadRequest = 1,   ///< malformed request; currently unused
   NoRoute,          ///< no route matches the host, method and path
+  UnknownKey,       ///< no tenant has the key that the call carries, or it carries none
+  OverQuota,        ///< the call's tenant has used up its quota
   MissingKey,       ///< an order without an Idempotency-Key header
   KeyReused,        ///< the idempotency key belongs to a different request
   NotReady,         ///< this process has no configuration (preset) yet
@@ -38,9 +40,11 @@
 struct EnumTable<CallError>
 {
   static constexpr const char* kCategory = "call";
-  static constexpr std::array<EnumName<CallError>, 19> kEntries{ {
+  static constexpr std::array<EnumName<CallError>, 21> kEntries{ {
     { CallError::BadRequest, "bad-request" },
     { CallError::NoRoute, "no-route" },
+    { CallError::UnknownKey, "unknown-key" },
+    { CallError::OverQuota, "over-quota" },
     { CallError::MissingKey, "missing-idempotency-key" },
     { CallError::KeyReused, "idempotency-key-reused" },
     { CallError::NotReady, "not-ready" },
--- a/libs/decide/include/decide/Preset.h
+++ b/libs/decide/include/decide/Preset.h
@@ -2,14 +2,18 @@
 
 #include <array>
 #include <cstdint>
+#include <decide/KeyPolicy.h>
 #include <decide/Limits.h>
 #include <decide/LinkBudget.h>
 #include <decide/ProbeBudget.h>
+#include <decide/QuotaTolerance.h>
 #include <decide/RankPolicy.h>
 #include <decide/Route.h>
 #include <decide/RouteIndex.h>
 #include <decide/Service.h>
 #include <decide/ServiceTargets.h>
+#include <decide/Tenant.h>
+#include <decide/WarmUpTolerance.h>
 #include <vector>
 
 namespace masticwall {
@@ -28,6 +32,10 @@
   LinkBudget link;       ///< for calls to other regions
   std::vector<Service> services;
   std::vector<Route> routes;
+  std::vector<Tenant> tenants; ///< empty: calls need no key
+  KeyPolicy keys;
+  QuotaTolerance quota;
+  WarmUpTolerance warmUp;
   RouteIndex routeIndex;  ///< built from `routes` by indexRoutes()
   ServiceTargets targets; ///< of latency; built likewise
 
--- a/libs/decide/include/decide/Route.h
+++ b/libs/decide/include/decide/Route.h
@@ -23,6 +23,9 @@
   bool requiresClaim = true; ///< orders need an idempotency key, claimed before they run
   int attempts = 3;          ///< max attempts of one call, with the first
   Duration target{ 0 };      ///< max latency that is wanted, from arrival; 0: none
+  bool isPublic = false;     ///< calls need no tenant's key
+  std::vector<std::string>
+    allowedRegions{}; ///< of upstreams that may run the calls; empty: any
 };
 
 } // namespace masticwall
--- a/libs/entry/src/Call.h
+++ b/libs/entry/src/Call.h
@@ -26,7 +26,8 @@
   std::uint64_t id = 0;
   std::shared_ptr<const Preset> preset; ///< owns `route`
   const Route* route = nullptr;
-  std::string service; ///< the route's, or one from its traffic split
+  const Tenant* tenant = nullptr; ///< owned by `preset`; null: the call carries no key
+  std::string service;            ///< the route's, or one from its traffic split
   CallMetadata metadata;
   http::Request request;
   http::ResponderPtr responder;
--- a/libs/entry/src/OutcomeStatus.cpp
+++ b/libs/entry/src/OutcomeStatus.cpp
@@ -9,6 +9,10 @@
     case CallError::BadRequest:
     case CallError::MissingKey:
       return { 400, false };
+    case CallError::UnknownKey:
+      return { 401, false };
+    case CallError::OverQuota:
+      return { 429, true };
     case CallError::NoRoute:
       return { 404, false };
     case CallError::KeyReused:
--- a/libs/gateway/include/gateway/GatewaySettings.h
+++ b/libs/gateway/include/gateway/GatewaySettings.h
@@ -1,6 +1,9 @@
 #pragma once
 
+#include <decide/KeyPolicy.h>
+#include <decide/QuotaTolerance.h>
 #include <decide/Vm.h>
+#include <decide/WarmUpTolerance.h>
 #include <map>
 #include <settings/EntrySettings.h>
 #include <string>
@@ -21,6 +24,9 @@
   double retryShare = 0.2;       ///< retries per call of a service, over all VMs
   double probesPerSecond = 60.0; ///< to each upstream, from all VMs together
   double retryBurst = 60.0;      ///< retries of a service beyond that ratio, over all VMs
+  KeyPolicy keys;
+  QuotaTolerance quota;
+  WarmUpTolerance warmUp;
 };
 
 } // namespace masticwall
--- a/libs/messages/src/Field.h
+++ b/libs/messages/src/Field.h
@@ -66,6 +66,9 @@
   NextInMs = 56,
   Era = 57,
   IsLastResort = 58,
+  Evacuated = 59, ///< names of data centres
+  Tenant = 60,
+  Returned = 61, ///< permits that were not used
 };
 
 } // namespace masticwall
