Let calls in by their tenants' keys, and tell upstreams the tenant

Change: KeyCheck (libs/decide) lets a call in by the key that it carries; TenantIndex finds the tenant by a digest of the key, compared in constant time; a key of two tenants names none, and is logged by their names. 401 for a missing, malformed, doubled or unknown key; 503 without a configuration, for an unknown key on a VM without news of the source for longer than `revoke`, and with fail-closed for known ones there. A call with an unknown key waits for up to 0.25 s while another VM is asked for a newer preset, bounded by PresetInquiry. The dialects read the credential and write Masticwall-Tenant; the key is taken out. The tenant's rank goes before the route's, one tenant takes turns as one caller, and fingerprints and idempotency keys belong to the tenant. Tenant in call-ended and, for the 20 largest, in the metrics. Without tenants nothing changes but "tenant=-" in call-ended. Ruled out: digests on the feed (longer than the keys); 401 at once for what may be new (callers don't come back). docs/design/tenants.md weighs them. TenantTest (real gateways) is built, not run yet.

--- a/libs/decide/include/decide/LatencyLimit.h
+++ b/libs/decide/include/decide/LatencyLimit.h
@@ -24,9 +24,11 @@
   Duration maxQueueing = Duration::max();       ///< of queueing alone
   Duration maxTotalIfLimited = Duration::max(); ///< `maxTotal`, with request limits
 
-  /** The limit at `aNow` for a call to `aService` that arrived at `aArrivedAt`. */
+  /** The limit at `aNow` for a call of `aRank` to `aService` that arrived at
+   * `aArrivedAt`. */
   static LatencyLimit of(const Preset& aPreset,
                          const Route& aRoute,
+                         Rank aRank,
                          const std::string& aService,
                          Instant aArrivedAt,
                          Instant aDeadline,
--- a/libs/decide/include/decide/Preset.h
+++ b/libs/decide/include/decide/Preset.h
@@ -3,6 +3,7 @@
 #include <array>
 #include <cstdint>
 #include <decide/KeyPolicy.h>
+#include <decide/LargestTenants.h>
 #include <decide/Limits.h>
 #include <decide/LinkBudget.h>
 #include <decide/ProbeBudget.h>
@@ -13,6 +14,7 @@
 #include <decide/Service.h>
 #include <decide/ServiceTargets.h>
 #include <decide/Tenant.h>
+#include <decide/TenantIndex.h>
 #include <decide/WarmUpTolerance.h>
 #include <vector>
 
@@ -36,14 +38,19 @@
   KeyPolicy keys;
   QuotaTolerance quota;
   WarmUpTolerance warmUp;
-  RouteIndex routeIndex;  ///< built from `routes` by indexRoutes()
-  ServiceTargets targets; ///< of latency; built likewise
+  RouteIndex routeIndex;         ///< built from `routes` by indexRoutes()
+  ServiceTargets targets;        ///< of latency; built likewise
+  TenantIndex tenantIndex;       ///< built from `tenants` likewise
+  LargestTenants largestTenants; ///< built likewise
 
-  /** Builds the indices; call it after the last change to `routes`. */
+  /** Builds the indices; call it after the last change to `routes` and
+   * `tenants`. */
   void indexRoutes()
   {
     routeIndex = RouteIndex(routes);
-    targets = ServiceTargets(routes);
+    targets = ServiceTargets(routes, tenants);
+    tenantIndex = TenantIndex(tenants);
+    largestTenants = LargestTenants(tenants);
   }
 };
 
--- a/libs/decide/src/LatencyLimit.cpp
+++ b/libs/decide/src/LatencyLimit.cpp
@@ -24,6 +24,7 @@
 LatencyLimit
 LatencyLimit::of(const Preset& aPreset,
                  const Route& aRoute,
+                 Rank aRank,
                  const std::string& aService,
                  Instant aArrivedAt,
                  Instant aDeadline,
@@ -38,7 +39,7 @@
     limit.maxTotalIfLimited =
       std::min(limit.maxTotal, maxIfLimited - (aNow - aArrivedAt));
   }
-  const auto urgentTarget = aPreset.targets.lowestMoreUrgentTarget(aService, aRoute.rank);
+  const auto urgentTarget = aPreset.targets.lowestMoreUrgentTarget(aService, aRank);
   if (urgentTarget != Duration::max()) {
     limit.maxQueueing = multiply(urgentTarget, kMaxWaitShareOfUrgentTarget);
   }
--- a/libs/decide/src/ServiceTargets.cpp
+++ b/libs/decide/src/ServiceTargets.cpp
@@ -3,17 +3,24 @@
 
 namespace masticwall {
 
-ServiceTargets::ServiceTargets(const std::vector<Route>& aRoutes)
+ServiceTargets::ServiceTargets(const std::vector<Route>& aRoutes,
+                               const std::vector<Tenant>& aTenants)
 {
+  Ranks tenantRanks;
+  for (const auto& tenant : aTenants) {
+    if (tenant.rank.has_value()) {
+      tenantRanks.insert(*tenant.rank);
+    }
+  }
   for (const auto& route : aRoutes) {
     if (route.target == Duration{ 0 }) {
       continue;
     }
     if (route.split.empty()) {
-      addTarget(route.service, route);
+      addTarget(route.service, route, tenantRanks);
     }
     for (const auto& part : route.split) {
-      addTarget(part.service, route);
+      addTarget(part.service, route, tenantRanks);
     }
   }
 }
@@ -32,13 +39,19 @@
 }
 
 void
-ServiceTargets::addTarget(const std::string& aService, const Route& aRoute)
+ServiceTargets::addTarget(const std::string& aService,
+                          const Route& aRoute,
+                          const Ranks& aTenantRanks)
 {
   TargetsByRank noTargets;
   noTargets.fill(Duration::max());
   auto& targets = mTargets.try_emplace(aService, noTargets).first->second;
-  auto& target = targets[indexOf(aRoute.rank)];
-  target = std::min(target, aRoute.target);
+  const auto lower = [&](Rank aRank) {
+    auto& target = targets[indexOf(aRank)];
+    target = std::min(target, aRoute.target);
+  };
+  lower(aRoute.rank);
+  std::for_each(aTenantRanks.begin(), aTenantRanks.end(), lower);
 }
 
 } // namespace masticwall
--- a/libs/decide/tests/LatencyLimitTest.cpp
+++ b/libs/decide/tests/LatencyLimitTest.cpp
@@ -23,7 +23,7 @@
   preset.indexRoutes();
   const auto& route = preset.routes[aRank == Rank::Urgent ? 0 : 1];
   return LatencyLimit::of(
-    preset, route, "s", kArrival, kArrival + aDeadline, kArrival + aWaited);
+    preset, route, route.rank, "s", kArrival, kArrival + aDeadline, kArrival + aWaited);
 }
 
 } // namespace
--- a/libs/entry/include/entry/CallMetadata.h
+++ b/libs/entry/include/entry/CallMetadata.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <core/Time.h>
+#include <decide/CallerCredential.h>
 #include <optional>
 #include <string>
 
@@ -12,6 +13,7 @@
   std::string id;   ///< the caller's request id; empty if it sent none
   std::string host; ///< requested host, lower case, without the port
   std::optional<Duration> callerTimeout; ///< how long the caller waits, if it says so
+  CallerCredential credential{};         ///< until the call is let in; a secret
 };
 
 } // namespace masticwall
--- a/libs/entry/include/entry/ControlPlane.h
+++ b/libs/entry/include/entry/ControlPlane.h
@@ -50,6 +50,10 @@
   std::function<void(const UpstreamAddress&, const PermitRequest&, PermitCallback)>
     requestPermits;
 
+  /** Asks another VM for a newer preset, and takes it; calls back once, when it is in the
+   * table, or there is none, or another VM was asked a moment ago. */
+  std::function<void(std::function<void()>)> catchUp;
+
   /** Whether presets and membership are kept up to date: the control process that feeds
    * them can be reached, or the source has been read recently. */
   std::function<bool()> isConnected;
--- a/libs/entry/include/entry/Dialect.h
+++ b/libs/entry/include/entry/Dialect.h
@@ -4,6 +4,7 @@
 #include <core/CallError.h>
 #include <decide/UpstreamAddress.h>
 #include <entry/CallMetadata.h>
+#include <entry/TenantField.h>
 #include <http/Request.h>
 #include <http/Response.h>
 #include <messages/UpstreamReport.h>
@@ -22,13 +23,14 @@
                            const http::Response& aResponse,
                            const CallMetadata& aMetadata,
                            const UpstreamAddress& aUpstream,
+                           const TenantField& aTenant,
                            Duration aTime,
                            Instant aNow)
 {
   {
     D::readMetadata(aRequest)
     } -> std::same_as<CallMetadata>;
-  D::writeUpstreamHeaders(aSent, aUpstream, aTime);
+  D::writeUpstreamHeaders(aSent, aUpstream, aTenant, aTime);
   {
     D::readUpstreamReport(aResponse, aNow)
     } -> std::same_as<UpstreamReport>;
@@ -60,10 +62,11 @@
 {
   CallMetadata (*readMetadata)(const http::Request&);
 
-  /** Adds the headers for the upstream: the instance it is meant for, and the time left
-   * until the call's deadline. */
+  /** Adds the headers for the upstream: the instance it is meant for, the call's tenant,
+   * and the time left until the call's deadline. */
   void (*writeUpstreamHeaders)(http::Request&,
                                const UpstreamAddress&,
+                               const TenantField&,
                                Duration aTimeLeft);
 
   /** Reads what an upstream reports about itself with a response. */
--- a/libs/entry/include/entry/EntryTables.h
+++ b/libs/entry/include/entry/EntryTables.h
@@ -58,6 +58,17 @@
   Metrics metrics;
   std::vector<WorkerGauges> gauges; ///< by worker index
   std::atomic<std::uint64_t> nextClaimSequence{ 1 };
+  /** When this VM or a peer last read the source of presets, since the clock's epoch;
+   * Duration::min(): never, or there is none. */
+  std::atomic<Duration::rep> sourceReadAt{ Duration::min().count() };
+
+  /** The time since then; the highest if there is none. */
+  Duration sourceAge(Instant aNow) const
+  {
+    const Duration readAt(sourceReadAt);
+    return readAt == Duration::min() ? Duration::max() : aNow.time_since_epoch() - readAt;
+  }
+
   /** Listed entry processes that are not draining; at least 1. */
   std::atomic<int> entryCount{ 1 };
   std::atomic<int> upstreamCount{ 0 };  ///< listed upstreams
--- a/libs/entry/src/Call.h
+++ b/libs/entry/src/Call.h
@@ -5,6 +5,7 @@
 #include <core/ClaimId.h>
 #include <core/Digest.h>
 #include <decide/AdmissionRequest.h>
+#include <decide/CallRank.h>
 #include <decide/Preset.h>
 #include <decide/UpstreamAddress.h>
 #include <entry/CallMetadata.h>
@@ -26,7 +27,7 @@
   std::uint64_t id = 0;
   std::shared_ptr<const Preset> preset; ///< owns `route`
   const Route* route = nullptr;
-  const Tenant* tenant = nullptr; ///< owned by `preset`; null: the call carries no key
+  const Tenant* tenant = nullptr; ///< owned by `preset`; null: it has none
   std::string service;            ///< the route's, or one from its traffic split
   CallMetadata metadata;
   http::Request request;
@@ -67,6 +68,14 @@
   bool mayHaveRun = false; ///< an attempt without a response may have run
   TimerHandle deadlineTimer;
 
+  Rank rank() const { return callRank(*route, tenant); }
+
+  /** Empty without a tenant. */
+  std::string_view tenantName() const
+  {
+    return tenant == nullptr ? std::string_view() : std::string_view(tenant->name);
+  }
+
   bool isOrder() const { return !route->idempotent; }
 
   /** An order with an idempotency key, which is claimed so that the order runs at most
--- a/libs/entry/src/CallerIdentity.cpp
+++ b/libs/entry/src/CallerIdentity.cpp
@@ -38,15 +38,21 @@
 }
 
 Digest
-keyDigest(const http::Request& aRequest)
+keyDigest(const http::Request& aRequest, std::string_view aTenant)
 {
   const auto key = http::findHeader(aRequest.headers, headers::kIdempotencyKey);
-  return digestOf({ callerOf(aRequest), key });
+  return aTenant.empty() ? digestOf({ callerOf(aRequest), key })
+                         : digestOf({ callerOf(aRequest), key, aTenant });
 }
 
 Digest
-requestDigest(const http::Request& aRequest, std::string_view aHost)
+requestDigest(const http::Request& aRequest,
+              std::string_view aHost,
+              std::string_view aTenant)
 {
+  if (!aTenant.empty()) {
+    return digestOf({ aRequest.method, aRequest.target, aRequest.body, aHost, aTenant });
+  }
   return aHost.empty()
            ? digestOf({ aRequest.method, aRequest.target, aRequest.body })
            : digestOf({ aRequest.method, aRequest.target, aRequest.body, aHost });
--- a/libs/entry/src/CallerIdentity.h
+++ b/libs/entry/src/CallerIdentity.h
@@ -13,14 +13,16 @@
 std::string_view
 callerOf(const http::Request& aRequest);
 
-/** Hash of a caller's idempotency key; includes the caller's name, so that equal keys of
- * different callers differ. */
+/** Hash of a caller's idempotency key; includes the caller's name and that of its tenant,
+ * unless empty, so that equal keys of different callers differ. */
 Digest
-keyDigest(const http::Request& aRequest);
+keyDigest(const http::Request& aRequest, std::string_view aTenant);
 
-/** Hash of a request's method, target and body, and of the host that it is meant for
- * unless that is empty. */
+/** Hash of a request's method, target and body, of the host that it is meant for and of
+ * the tenant that sends it, unless these are empty. */
 Digest
-requestDigest(const http::Request& aRequest, std::string_view aHost);
+requestDigest(const http::Request& aRequest,
+              std::string_view aHost,
+              std::string_view aTenant);
 
 } // namespace masticwall
--- a/libs/entry/src/EntryWorker.cpp
+++ b/libs/entry/src/EntryWorker.cpp
@@ -183,7 +183,7 @@
   const auto now = mTimers.now();
   if (aCall.heldOffFor > Duration{ 0 }) {
     return RetryAfterRange::afterHoldOff(
-             aCall.deadline - now, aCall.heldOffFor, aCall.route->rank)
+             aCall.deadline - now, aCall.heldOffFor, aCall.rank())
       .draw(mRandom);
   }
   return RetryAfterRange::of(aCall.deadline - now,
--- a/libs/entry/src/EntryWorker.h
+++ b/libs/entry/src/EntryWorker.h
@@ -1,10 +1,13 @@
 #pragma once
 
+#include "Arrival.h"
 #include "Call.h"
 #include "LoadQueryId.h"
 #include "ReportSource.h"
 #include "WorkerContext.h"
 #include <core/CallError.h>
+#include <decide/KeyCheck.h>
+#include <decide/PresetInquiry.h>
 #include <decide/RetryAfterRange.h>
 #include <decide/RetryBudget.h>
 #include <decide/TrafficSplit.h>
@@ -73,6 +76,9 @@
   // Arrival
   void onRequest(http::Request aRequest, http::ResponderPtr aResponder);
 
+  /** Makes a call of the request, or refuses it, by the preset in force now. */
+  void accept(Arrival aArrival);
+
   /** Refuses a request for which there is no preset or no route. */
   void refuseUnrouted(const CallMetadata& aMetadata,
                       const http::ResponderPtr& aResponder,
@@ -86,6 +92,16 @@
   void requestAdmission(Call& aCall);
   void requestClaim(Call& aCall);
 
+  // Callers' keys
+  /** Refuses a call for the key that it carries, or lacks. */
+  void refuseKey(const KeyCheck& aCheck, const Route& aRoute, const Arrival& aArrival);
+
+  /** Keeps a request with an unknown key until another VM was asked for a newer preset;
+   * false if it must be refused now. */
+  bool awaitNewerPreset(Arrival& aArrival);
+  void askForNewerPreset();
+  void onPresetInquiryEnd(std::uint64_t aInquiry);
+
   // Load queries
   /** Queries the load of the upstreams that the call may be sent to, and requests a
    * permit where it needs one; sends it if there is nothing to wait for. */
@@ -227,6 +243,11 @@
   };
   std::map<std::pair<std::string, std::string>, PermitWait>
     mPermitWaits; ///< by upstream name and instance
+  PresetInquiry mPresetInquiry;
+  std::map<std::uint64_t, Arrival> mWaitingArrivals; ///< for the inquiry in progress
+  std::uint64_t mNextArrival = 1;
+  std::uint64_t mInquiry = 0; ///< number of the inquiry in progress
+  TimerHandle mInquiryTimer;
   TrafficSplit mTrafficSplit;
   std::mt19937_64 mRandom;
   TimerHandle mGaugeTimer;
--- a/libs/entry/src/EntryWorkerArrival.cpp
+++ b/libs/entry/src/EntryWorkerArrival.cpp
@@ -12,10 +12,17 @@
 
 namespace {
 
-/** Identifies a caller for fair queueing: by its name, or its address if it has none. */
+/** Identifies a caller for fair queueing: by its tenant, so that one with many
+ * connections has one turn as the others have; else by its name, or its address if it has
+ * none. */
 std::uint64_t
-callerKey(const http::Request& aRequest, const http::Responder& aResponder)
+callerKey(const Call& aCall,
+          const http::Request& aRequest,
+          const http::Responder& aResponder)
 {
+  if (aCall.tenant != nullptr) {
+    return std::hash<std::string>()(aCall.tenant->name);
+  }
   const auto caller = callerOf(aRequest);
   return caller.empty() ? std::hash<std::string>()(aResponder.callerAddress())
                         : std::hash<std::string_view>()(caller);
@@ -32,32 +39,54 @@
     return;
   }
   auto metadata = dialect.readMetadata(aRequest);
+  accept(
+    { std::move(aRequest), std::move(aResponder), std::move(metadata), mTimers.now() });
+}
+
+void
+EntryWorker::accept(Arrival aArrival)
+{
+  auto& request = aArrival.request;
+  auto& metadata = aArrival.metadata;
   const auto preset = mTables.presets.current();
   if (preset == nullptr) {
-    refuseUnrouted(metadata, aResponder, CallError::NotReady);
+    refuseUnrouted(metadata, aArrival.responder, CallError::NotReady);
     return;
   }
-  const auto route = matchRoute(*preset, metadata.host, aRequest.method, aRequest.target);
+  const auto route = matchRoute(*preset, metadata.host, request.method, request.target);
   if (route.has_error()) {
-    refuseUnrouted(metadata, aResponder, CallError::NoRoute);
+    refuseUnrouted(metadata, aArrival.responder, CallError::NoRoute);
+    return;
+  }
+  const auto keyCheck = KeyCheck::of(
+    *preset, *route.value(), metadata.credential, mTables.sourceAge(mTimers.now()));
+  if (keyCheck.refusal().has_value()) {
+    const bool mayBeNew = keyCheck.verdict == KeyVerdict::Unknown && !aArrival.hasWaited;
+    if (!mayBeNew || !awaitNewerPreset(aArrival)) {
+      refuseKey(keyCheck, *route.value(), aArrival);
+    }
     return;
   }
+  metadata.credential = {}; // in memory no longer than needed
   auto call = std::make_unique<Call>();
   call->id = CallId::make(mIndex, mNextSequence++);
   call->preset = preset;
   call->route = route.value();
+  call->tenant = keyCheck.tenant;
   call->service = mTrafficSplit.next(*call->route, mRandom);
-  call->arrivedAt = mTimers.now();
+  call->arrivedAt = aArrival.at;
   call->deadline =
     call->arrivedAt +
     std::min(call->route->deadline, metadata.callerTimeout.value_or(Duration::max()));
   call->metadata = std::move(metadata);
-  call->admissionRequest = { call->id,       callerKey(aRequest, *aResponder),
-                             mIndex,         call->route->rank,
-                             call->deadline, call->arrivedAt };
+  call->admissionRequest = {
+    call->id,       callerKey(*call, request, *aArrival.responder),
+    mIndex,         call->rank(),
+    call->deadline, call->arrivedAt
+  };
   call->isClaimGranted = !call->isClaimedOrder();
-  call->request = std::move(aRequest);
-  call->responder = std::move(aResponder);
+  call->request = std::move(request);
+  call->responder = std::move(aArrival.responder);
   auto& added = *call;
   mCalls[added.id] = std::move(call);
   mRetryBudget.recordCall(added.service, added.arrivedAt, mRandom);
@@ -100,7 +129,8 @@
     return;
   }
   if (aCall.isOrder() || !mTables.suspects.isEmpty()) {
-    aCall.fingerprint = requestDigest(aCall.request, aCall.metadata.host);
+    aCall.fingerprint =
+      requestDigest(aCall.request, aCall.metadata.host, aCall.tenantName());
     const auto now = mTimers.now();
     if (mTables.suspects.isBlocked(aCall.fingerprint, now)) {
       aCall.isTrial = mTables.suspects.tryTakeTrial(
@@ -126,7 +156,7 @@
     endWithError(aCall, CallError::MissingKey);
     return false;
   }
-  aCall.key = keyDigest(aCall.request);
+  aCall.key = keyDigest(aCall.request, aCall.tenantName());
   aCall.claim = { mTables.settings.common.vm,
                   mTables.incarnation,
                   mTables.nextClaimSequence++ };
@@ -152,7 +182,7 @@
 void
 EntryWorker::requestAdmission(Call& aCall)
 {
-  const auto rank = aCall.route->rank;
+  const auto rank = aCall.rank();
   if (!mTables.upstreams.availability(aCall.service, rank, mTimers.now()).isAvailable) {
     endAsUnavailable(aCall);
     return;
--- a/libs/entry/src/EntryWorkerCrashes.cpp
+++ b/libs/entry/src/EntryWorkerCrashes.cpp
@@ -16,7 +16,8 @@
 void
 EntryWorker::checkForCrash(Call& aCall)
 {
-  aCall.fingerprint = requestDigest(aCall.request, aCall.metadata.host);
+  aCall.fingerprint =
+    requestDigest(aCall.request, aCall.metadata.host, aCall.tenantName());
   const auto id = aCall.id;
   const auto upstream = *aCall.upstream;
   aCall.upstream.reset();
@@ -64,7 +65,7 @@
     return;
   }
   const auto cleared = mTables.suspects.recordSuccess(
-    requestDigest(aCall.request, aCall.metadata.host), mTimers.now());
+    requestDigest(aCall.request, aCall.metadata.host, aCall.tenantName()), mTimers.now());
   if (cleared.empty()) {
     return;
   }
--- a/libs/entry/src/EntryWorkerEnding.cpp
+++ b/libs/entry/src/EntryWorkerEnding.cpp
@@ -27,11 +27,14 @@
 toEndedCall(const Call& aCall, Outcome aOutcome, std::string_view aReason, Instant aNow)
 {
   EndedCall ended;
-  ended.rank = aCall.route->rank;
+  ended.rank = aCall.rank();
   ended.outcome = aOutcome;
   ended.reason = aReason;
   ended.route = aCall.route->name;
   ended.service = aCall.service;
+  if (aCall.tenant != nullptr) {
+    ended.tenant = aCall.preset->largestTenants.labelOf(*aCall.tenant);
+  }
   ended.totalTime = aNow - aCall.arrivedAt;
   if (!aCall.history.empty()) {
     const auto& last = aCall.history.back();
--- a/libs/entry/src/EntryWorkerPermits.cpp
+++ b/libs/entry/src/EntryWorkerPermits.cpp
@@ -28,7 +28,7 @@
                                upstream.instance,
                                aCandidate.limit.perSecond,
                                now - aCandidate.limit.statedAt,
-                               aCall.route->rank,
+                               aCall.rank(),
                                std::exchange(wait.wanted, 1),
                                !aCandidate.hasAlternative };
   auto& context = mContext;
--- a/libs/entry/src/EntryWorkerSending.cpp
+++ b/libs/entry/src/EntryWorkerSending.cpp
@@ -22,6 +22,12 @@
   return aResult.detail ? aResult.detail.message() : "-";
 }
 
+TenantField
+tenantFieldOf(const Call& aCall)
+{
+  return { !aCall.preset->tenants.empty(), std::string(aCall.tenantName()) };
+}
+
 } // namespace
 
 void
@@ -36,11 +42,12 @@
 EntryWorker::upstreamQueryFor(const Call& aCall) const
 {
   return { aCall.service,
-           aCall.route->rank,
+           aCall.rank(),
            aCall.request.body.size() + kExpectedResponseBytes,
            aCall.excluded,
            LatencyLimit::of(*aCall.preset,
                             *aCall.route,
+                            aCall.rank(),
                             aCall.service,
                             aCall.arrivedAt,
                             aCall.deadline,
@@ -64,8 +71,7 @@
     const bool hasNothingToReport =
       !aCall.wasShed && !aCall.mayHaveRun && !aCall.lastErrorResponse.has_value();
     if (hasNothingToReport && chosen.error() == CallError::NoUpstream &&
-        !mTables.upstreams.availability(aCall.service, aCall.route->rank, now)
-           .isAvailable) {
+        !mTables.upstreams.availability(aCall.service, aCall.rank(), now).isAvailable) {
       endAsUnavailable(aCall);
       return;
     }
@@ -97,7 +103,8 @@
   exchange.host = QHostAddress(QString::fromStdString(aCall.upstream->host));
   exchange.port = aCall.upstream->port;
   exchange.request = aCall.request;
-  mContext.dialect.writeUpstreamHeaders(exchange.request, *aCall.upstream, timeLeft);
+  mContext.dialect.writeUpstreamHeaders(
+    exchange.request, *aCall.upstream, tenantFieldOf(aCall), timeLeft);
   exchange.limits.maxBodyBytes = aCall.preset->limits.maxBodyBytes;
   exchange.timeout = aCall.isClaimedOrder() ? timeLeft + kMaxSettleTime : timeLeft;
   exchange.recentlyActiveOnly = aCall.isOrder();
--- a/libs/entry/src/EntryWorkerSignals.cpp
+++ b/libs/entry/src/EntryWorkerSignals.cpp
@@ -158,7 +158,7 @@
 EntryWorker::endAsUnavailable(Call& aCall)
 {
   const auto availability =
-    mTables.upstreams.availability(aCall.service, aCall.route->rank, mTimers.now());
+    mTables.upstreams.availability(aCall.service, aCall.rank(), mTimers.now());
   if (availability.isLimited) {
     endWithError(aCall, CallError::Limited);
   } else {
@@ -173,7 +173,7 @@
 {
   const auto now = mTimers.now();
   const auto nextAt =
-    mTables.upstreams.availability(aCall.service, aCall.route->rank, now).nextAt;
+    mTables.upstreams.availability(aCall.service, aCall.rank(), now).nextAt;
   return nextAt.has_value() ? std::max(Duration{ 0 }, *nextAt - now) : Duration{ 0 };
 }
 
--- a/libs/entry/src/NativeDialect.cpp
+++ b/libs/entry/src/NativeDialect.cpp
@@ -1,22 +1,27 @@
 #include "NativeDialect.h"
+#include <entry/BearerCredential.h>
 #include <messages/HeaderNames.h>
 
 namespace masticwall {
 
 CallMetadata
-NativeDialect::readMetadata(const http::Request& /*aRequest*/)
+NativeDialect::readMetadata(const http::Request& aRequest)
 {
-  return {};
+  CallMetadata metadata;
+  metadata.credential = readBearerCredential(aRequest.headers);
+  return metadata;
 }
 
 void
 NativeDialect::writeUpstreamHeaders(http::Request& aRequest,
                                     const UpstreamAddress& /*aUpstream*/,
+                                    const TenantField& aTenant,
                                     Duration aTimeLeft)
 {
   http::removeHeader(aRequest.headers, headers::kDeadline);
   aRequest.headers.push_back(
     { headers::kDeadline, std::to_string(toMilliseconds(aTimeLeft)) });
+  replaceTenant(aRequest.headers, headers::kTenant, aTenant);
 }
 
 UpstreamReport
--- a/libs/entry/src/OutcomeEncoding.cpp
+++ b/libs/entry/src/OutcomeEncoding.cpp
@@ -1,4 +1,5 @@
 #include "OutcomeEncoding.h"
+#include <entry/BearerCredential.h>
 #include <entry/OutcomeStatus.h>
 #include <http/HttpErrorStatus.h>
 #include <messages/HeaderNames.h>
@@ -26,6 +27,9 @@
 {
   const auto status = statusOf(aError);
   auto response = makeResponse(status.status, aOutcome, nameOf(aError));
+  if (aError == CallError::UnknownKey) {
+    response.headers.push_back({ kAuthenticate, kBearer });
+  }
   if (status.mayRetry && aOutcome == Outcome::NotRun) {
     // Retry-After is in whole seconds.
     const auto seconds = std::chrono::ceil<std::chrono::seconds>(aRetryAfter).count();
--- a/libs/gateway/include/gateway/ConfigSync.h
+++ b/libs/gateway/include/gateway/ConfigSync.h
@@ -12,6 +12,7 @@
 #include <gateway/ConfigSource.h>
 #include <gateway/ConfigSyncTimings.h>
 #include <gateway/SourceCache.h>
+#include <gateway/TenantKeyLog.h>
 #include <messages/Paths.h>
 #include <optional>
 #include <peer/PeerClients.h>
@@ -72,6 +73,14 @@
     mFeedServer.serve(aHave, std::move(aReply));
   }
 
+  /**
+   * Asks another VM for its preset, which may be newer than what the source had when it
+   * was read: a version may not have reached this VM yet, or the source may have come
+   * back from an older copy before this VM started. Calls back once, when a newer one is
+   * in the tables or there is none; at once if another VM was asked a moment ago.
+   */
+  void catchUp(std::function<void()> aDone = [] {});
+
   /** Decodes the active preset again; to be called after S::setBudgets(). */
   void onBudgetsChanged();
 
@@ -133,12 +142,10 @@
   void updateTreePosition();
   void requestFeed(const Vm& aVm, const FeedRequest& aHave, PeerClient::Callback aDone);
 
-  /**
-   * Asks another VM for its preset, which may be newer than what the source has: it may
-   * have come back from an older copy before this VM started.
-   */
-  void catchUp();
-  void fetchPreset(const Vm& aVm);
+  void fetchPreset(const Vm& aVm, std::function<void()> aDone);
+
+  /** The source was read at `aTime`, by this VM or by another. */
+  void recordRead(Instant aTime);
 
   /** Adapts to a source that has come back from an older copy, if the era says so. */
   void recordEra(std::optional<std::uint64_t> aEra);
--- a/libs/gateway/include/gateway/ConfigSyncFeeds.h
+++ b/libs/gateway/include/gateway/ConfigSyncFeeds.h
@@ -109,7 +109,7 @@
   }
   const auto lastRead = mCache.readAt();
   const auto now = mTimers.now();
-  mCache.recordRead(readAt);
+  recordRead(readAt);
   const auto known = mTables.membership.current();
   if (!aFeed.isVmsDelta) {
     applyVms(mMerger.mergeFromPeer(known, aFeed.vms, lastRead, now));
@@ -120,6 +120,16 @@
   mFeedServer.onChange();
 }
 
+template<ConfigSource S>
+void
+ConfigSync<S>::recordRead(Instant aTime)
+{
+  mCache.recordRead(aTime);
+  if (!mCache.isEmpty()) {
+    mTables.sourceReadAt = mCache.readAt().time_since_epoch().count();
+  }
+}
+
 template<ConfigSource S>
 void
 ConfigSync<S>::recordEra(std::optional<std::uint64_t> aEra)
@@ -138,43 +148,49 @@
 
 template<ConfigSource S>
 void
-ConfigSync<S>::catchUp()
+ConfigSync<S>::catchUp(std::function<void()> aDone)
 {
   const auto others = otherMembers();
   if (others.empty() || mCatchUpTimer.isActive()) {
+    aDone();
     return;
   }
   mCatchUpTimer = mTimers.scheduleAfter(kCatchUpPeriod, [] {});
   std::uniform_int_distribution<std::size_t> index(0, others.size() - 1);
   const auto& vm = others[index(mRandom)];
   // Only the version: a whole feed is large.
-  requestFeed(vm, { .mayWait = false }, [this, vm](const Result<QByteArray>& aReply) {
-    const auto feed =
-      aReply.has_value() ? decodeFeed(aReply.value()) : Result<Feed>(aReply.error());
-    if (feed.has_value() && feed.value().version > mCache.presetVersion()) {
-      fetchPreset(vm);
-    }
-  });
+  requestFeed(vm,
+              { .mayWait = false },
+              [this, vm, done = std::move(aDone)](const Result<QByteArray>& aReply) {
+                const auto feed = aReply.has_value() ? decodeFeed(aReply.value())
+                                                     : Result<Feed>(aReply.error());
+                if (feed.has_value() && feed.value().version > mCache.presetVersion()) {
+                  fetchPreset(vm, done);
+                } else {
+                  done();
+                }
+              });
 }
 
 template<ConfigSource S>
 void
-ConfigSync<S>::fetchPreset(const Vm& aVm)
+ConfigSync<S>::fetchPreset(const Vm& aVm, std::function<void()> aDone)
 {
   const FeedRequest have{ .version = mCache.presetVersion() };
-  requestFeed(aVm, have, [this](const Result<QByteArray>& aReply) {
-    const auto feed =
-      aReply.has_value() ? decodeFeed(aReply.value()) : Result<Feed>(aReply.error());
-    if (feed.has_error()) {
-      return; // asked again while others have a newer version
-    }
-    const auto& sections = feed.value().sections;
-    const auto text = sections.find(kWholePresetSection);
-    if (text != sections.end()) {
-      applyPreset(feed.value().version, text->second);
-      mFeedServer.onChange();
-    }
-  });
+  requestFeed(
+    aVm, have, [this, done = std::move(aDone)](const Result<QByteArray>& aReply) {
+      const auto feed =
+        aReply.has_value() ? decodeFeed(aReply.value()) : Result<Feed>(aReply.error());
+      if (feed.has_value()) { // otherwise asked again while others have a newer version
+        const auto& sections = feed.value().sections;
+        const auto text = sections.find(kWholePresetSection);
+        if (text != sections.end()) {
+          applyPreset(feed.value().version, text->second);
+          mFeedServer.onChange();
+        }
+      }
+      done();
+    });
 }
 
 template<ConfigSource S>
--- a/libs/gateway/include/gateway/ConfigSyncReading.h
+++ b/libs/gateway/include/gateway/ConfigSyncReading.h
@@ -120,7 +120,7 @@
                                        snapshot.vms,
                                        mCache.isEmpty() ? Instant{} : mCache.readAt(),
                                        now);
-    mCache.recordRead(now);
+    recordRead(now);
     applyPreset(snapshot.version, snapshot.presetText);
     applyVms(std::move(vms));
     mFeedServer.onChange();
@@ -173,6 +173,7 @@
   if (mTables.presets.put(preset)) {
     logEvent(LogEvent::PresetInForce,
              { { "version", aVersion }, { "routes", preset->routes.size() } });
+    logTenantKeyProblems(*preset);
     mOnChange();
   }
 }
--- a/libs/gateway/include/gateway/GatewayDaemon.h
+++ b/libs/gateway/include/gateway/GatewayDaemon.h
@@ -151,6 +151,9 @@
                                        const ControlPlane::PermitCallback& aDone) {
     mPermitService->request(aUpstream, aRequest, aDone);
   };
+  controlPlane.catchUp = [this](const std::function<void()>& aDone) {
+    mConfigSync->catchUp(aDone);
+  };
   // The source counts as reachable while the data is fresh, whichever VM reads it.
   controlPlane.isConnected = [this] { return mConfigSync->isFresh(); };
   controlPlane.sourceAge = [this] { return mConfigSync->age(); };
--- a/libs/messages/include/messages/HeaderNames.h
+++ b/libs/messages/include/messages/HeaderNames.h
@@ -14,6 +14,8 @@
 // Requests to upstreams.
 /** Milliseconds left until the response must have arrived. */
 inline constexpr const char* kDeadline = "Masticwall-Deadline-Ms";
+/** Name of the call's tenant; none if the call has none. */
+inline constexpr const char* kTenant = "Masticwall-Tenant";
 
 // Responses from upstreams.
 /** "1": the request was not run. */
--- a/libs/telemetry/include/telemetry/Counter.h
+++ b/libs/telemetry/include/telemetry/Counter.h
@@ -17,19 +17,23 @@
    * for a time), "limited" or "unlimited" (a request limit begins or ends),
    * "bad-retry-after" or "bad-server-limit". */
   UpstreamSignals,
-  LoadQueries,     ///< "answered" or "failed" queries; "over-budget": none sent
+  LoadQueries, ///< "answered" or "failed" queries; "over-budget": none sent
+  /** Calls refused for their key, by KeyVerdict: "missing", "malformed", "repeated",
+   * "unknown" or "stale". */
+  KeyRefusals,
   LimitedRequests, ///< to upstreams with a request limit: "call"; "no-permit": none sent
 };
 
 template<>
 struct EnumTable<Counter>
 {
-  static constexpr std::array<EnumName<Counter>, 6> kEntries{ {
+  static constexpr std::array<EnumName<Counter>, 7> kEntries{ {
     { Counter::SourceReads, "masticwall_source_readings_total" },
     { Counter::FeedRequests, "masticwall_feeds_total" },
     { Counter::Retries, "masticwall_retries_total" },
     { Counter::UpstreamSignals, "masticwall_upstream_signals_total" },
     { Counter::LoadQueries, "masticwall_load_queries_total" },
+    { Counter::KeyRefusals, "masticwall_key_refusals_total" },
     { Counter::LimitedRequests, "masticwall_limited_requests_total" },
   } };
 };
--- a/libs/telemetry/include/telemetry/EndedCall.h
+++ b/libs/telemetry/include/telemetry/EndedCall.h
@@ -16,6 +16,7 @@
   std::string reason; ///< name of the CallError; empty for answered calls
   std::string route;
   std::string service;
+  std::string tenant;                ///< as metrics name it; empty: the call has none
   Duration totalTime{ 0 };           ///< from its arrival to the response
   std::optional<Duration> queueTime; ///< from its arrival until first sent to an upstream
   std::optional<Duration> upstreamTime; ///< duration of the last attempt
--- a/libs/telemetry/include/telemetry/LogEvent.h
+++ b/libs/telemetry/include/telemetry/LogEvent.h
@@ -46,6 +46,8 @@
   ReloadRequested,
   Reloaded,
   CallRefused,       ///< refused before it was matched to a route
+  KeyRefused,        ///< refused for its key, which is not logged
+  TenantKeyBad,      ///< the keys of a tenant in the preset are not as they should be
   CallEnded,         ///< logged if failed or later than the route's target; else sampled
   CallAttempt,       ///< one for each attempt of a call logged as CallEnded
   SourceUnreachable, ///< the store of VM list and preset can't be read (gateway)
@@ -66,7 +68,7 @@
 template<>
 struct EnumTable<LogEvent>
 {
-  static constexpr std::array<EnumName<LogEvent>, 53> kEntries{ {
+  static constexpr std::array<EnumName<LogEvent>, 55> kEntries{ {
     { LogEvent::Started, "started" },
     { LogEvent::Stopped, "stopped" },
     { LogEvent::StopRequested, "stop-requested" },
@@ -105,6 +107,8 @@
     { LogEvent::ReloadRequested, "reload-requested" },
     { LogEvent::Reloaded, "reloaded" },
     { LogEvent::CallRefused, "call-refused" },
+    { LogEvent::KeyRefused, "key-refused" },
+    { LogEvent::TenantKeyBad, "tenant-key-bad" },
     { LogEvent::CallEnded, "call-ended" },
     { LogEvent::CallAttempt, "call-attempt" },
     { LogEvent::SourceUnreachable, "source-unreachable" },
--- a/libs/telemetry/include/telemetry/Metrics.h
+++ b/libs/telemetry/include/telemetry/Metrics.h
@@ -10,8 +10,8 @@
 
 /**
  * Counters, gauges and latency histograms of a process in Prometheus format. The number
- * of time series of calls is bounded: routes and services beyond a limit share the label
- * value "other". Thread-safe.
+ * of time series of calls is bounded: routes, services and tenants beyond a limit share
+ * the label value "other". Thread-safe.
  */
 class Metrics
 {
--- a/libs/telemetry/src/Metrics.cpp
+++ b/libs/telemetry/src/Metrics.cpp
@@ -31,15 +31,24 @@
   return std::chrono::duration<double>(aDuration).count();
 }
 
+/** Limit on distinct `tenant` values while the process runs; at a time, there are fewer.
+ */
+constexpr std::size_t kMaxTenantValues = 64;
+
 /** Limits the number of distinct values of a label. Thread-safe. */
 class LabelLimit
 {
 public:
+  explicit LabelLimit(std::size_t aMaxValues)
+    : mMaxValues(aMaxValues)
+  {
+  }
+
   /** `aName` if it is known or the limit is not reached, else "other". */
   std::string valueFor(const std::string& aName)
   {
     std::scoped_lock lock(mMutex);
-    if (mValues.count(aName) == 0 && mValues.size() >= kMaxLabelValues) {
+    if (mValues.count(aName) == 0 && mValues.size() >= mMaxValues) {
       return "other";
     }
     return *mValues.insert(aName).first;
@@ -47,6 +56,7 @@
 
 private:
   OrderedMutex mMutex{ LockLevel::Statistics };
+  std::size_t mMaxValues;
   std::set<std::string> mValues;
 };
 
@@ -70,8 +80,14 @@
       .Name("masticwall_call_seconds")
       .Help("Time of calls by route: until sent, at the upstream, in all.")
       .Register(registry);
-  LabelLimit routes;
-  LabelLimit services;
+  prometheus::Family<prometheus::Counter>& tenantCalls =
+    prometheus::BuildCounter()
+      .Name("masticwall_tenant_calls_total")
+      .Help("Calls that have ended, by tenant and outcome; the smaller tenants together.")
+      .Register(registry);
+  LabelLimit routes{ kMaxLabelValues };
+  LabelLimit services{ kMaxLabelValues };
+  LabelLimit tenants{ kMaxTenantValues };
 
   void observe(const std::string& aRoute, const char* aStage, Duration aDuration)
   {
@@ -95,6 +111,10 @@
   mImpl->calls.Add({ { "rank", rank }, { "result", aCall.result() } }).Increment();
   const auto service = mImpl->services.valueFor(aCall.service);
   mImpl->serviceCalls.Add({ { "service", service }, { "outcome", outcome } }).Increment();
+  if (!aCall.tenant.empty()) {
+    const auto tenant = mImpl->tenants.valueFor(aCall.tenant);
+    mImpl->tenantCalls.Add({ { "tenant", tenant }, { "outcome", outcome } }).Increment();
+  }
   const auto route = mImpl->routes.valueFor(aCall.route);
   mImpl->observe(route, "total", aCall.totalTime);
   if (aCall.queueTime.has_value()) {
--- a/libs/telemetry/tests/MetricsTest.cpp
+++ b/libs/telemetry/tests/MetricsTest.cpp
@@ -78,3 +78,21 @@
   CHECK_FALSE(contains(text, R"(route="r300")"));
   CHECK(text.size() < kMiB);
 }
+
+TEST_CASE("calls are counted by tenant, and thousands of tenants share one value")
+{
+  Metrics metrics;
+  metrics.add(makeCall("r1"));
+  CHECK_FALSE(contains(metrics.toText(), R"(tenant=)"));
+  for (int i = 0; i < 3400; ++i) {
+    auto call = makeCall("r1");
+    call.tenant = "t" + std::to_string(i);
+    metrics.add(call);
+  }
+  const auto text = metrics.toText();
+  CHECK(
+    contains(text, R"(masticwall_tenant_calls_total{outcome="answered",tenant="t0"} 1)"));
+  CHECK(contains(
+    text, R"(masticwall_tenant_calls_total{outcome="answered",tenant="other"} 3336)"));
+  CHECK_FALSE(contains(text, R"(tenant="t64")"));
+}
--- a/tests/harness/GatewaySystem.cpp
+++ b/tests/harness/GatewaySystem.cpp
@@ -118,26 +118,43 @@
   return answer.value_or(http::Response{}).body;
 }
 
+std::string
+GatewaySystem::state(int aIndex)
+{
+  const auto answer = callOnce(
+    host(kFirstGateway + aIndex), kReadyPort, makeRequest("GET", "/state"), 1000);
+  return answer.value_or(http::Response{}).body;
+}
+
 void
 GatewaySystem::writeConfig(int aVersion)
 {
   const auto version = std::to_string(aVersion);
-  const auto row = [](const std::string& aPath, const std::string& aKind) {
+  const bool hasTenants = !mTenants.empty();
+  const auto row = [hasTenants](const std::string& aPath, const std::string& aKind) {
+    const bool isPublic = aPath == "/open/";
     return R"(["r)" + aPath + R"(","a.example",")" + aPath + R"(",")" + aKind +
-           R"(","2s","200ms",1,"lookup",2])";
+           R"(","2s","200ms",1,"lookup",2)" +
+           (hasTenants ? (isPublic ? ",true]" : ",false]") : "]");
   };
+  const std::string tenants =
+    hasTenants ? R"(,"tenants":{"columns":["name","api-keys","priority"],"rows":[)" +
+                   mTenants + "]}"
+               : "";
   writeRecord(
     "keyed.op",
     "config",
     R"({"version":)" + version +
       R"(,"routes":{"columns":["name","host","path-prefix","kind","timeout",)" +
-      R"("target-latency","priority","service","attempts"],"rows":[)" +
+      R"("target-latency","priority","service","attempts")" +
+      (hasTenants ? R"(,"public"],"rows":[)" + row("/open/", "safe") + ','
+                  : R"(],"rows":[)") +
       row("/read/", "safe") + ',' + row("/order/", "unsafe") + ',' +
       row("/v" + version + '/', "safe") +
       R"(]},"services":{"columns":["name","health-path","max-connections"],)" +
       R"("rows":[["lookup","/health",240]]},"limits":{"max-header-bytes":16384,)" +
       R"("max-body-bytes":)" + std::to_string(mMaxBodyBytes) +
-      R"(,"header-timeout":"3s","idle-timeout":"15s"}})");
+      R"(,"header-timeout":"3s","idle-timeout":"15s"})" + tenants + "}");
 }
 
 void
@@ -217,6 +234,20 @@
   return ctl.waitForEnd() == 0 ? ctl.standardOutput() : QString();
 }
 
+QString
+GatewaySystem::logs()
+{
+  keepLogs();
+  QString text;
+  for (int i = 0; i < static_cast<int>(mGateways.size()); ++i) {
+    QFile file(logPath(i));
+    if (file.open(QIODevice::ReadOnly)) {
+      text += QString::fromUtf8(file.readAll());
+    }
+  }
+  return text;
+}
+
 LedgerFile
 GatewaySystem::ledgerOf(int aIndex) const
 {
@@ -315,7 +346,8 @@
 GatewaySystem::writeSettings(int aIndex, double aRetryShare) const
 {
   const auto ip = host(kFirstGateway + aIndex).toString();
-  const auto store = host(kStoreHost).toString();
+  const bool isCut = mCutFromStore.count(aIndex) > 0;
+  const auto store = host(isCut ? kNoStoreHost : kStoreHost).toString();
   const auto seed = host(kFirstGateway).toString();
   QFile file(settingsPath(aIndex));
   if (!file.open(QIODevice::WriteOnly)) {
@@ -329,7 +361,8 @@
                             "[network.zones]\nrecife = \"litoral\"\n"
                             "[platform.platform]\naddress = \"%3:%8\"\n"
                             "[terms.bounds]\ngrace = \"6s\"\n"
-                            "retry-budget-ratio = %9\n")
+                            "retry-budget-ratio = %9\n"
+                            "fail-closed = %12\nrevoke = \"%13ms\"\n")
                .arg(aIndex)
                .arg(ip, store, seed)
                .arg(kFrontPort)
@@ -339,6 +372,8 @@
                .arg(aRetryShare)
                .arg(mMaxFds)
                .arg(mMemoryMb)
+               .arg(mFailsClosed ? QStringLiteral("true") : QStringLiteral("false"))
+               .arg(mRevokeMs)
                .toUtf8());
 }
 
--- a/tests/harness/GatewaySystem.h
+++ b/tests/harness/GatewaySystem.h
@@ -6,6 +6,7 @@
 #include <QTemporaryDir>
 #include <core/Bytes.h>
 #include <memory>
+#include <set>
 #include <vector>
 
 namespace masticwall::test {
@@ -34,6 +35,12 @@
 
   /** Appends what the gateways have logged to files, which explain() reads. */
   void keepLogs();
+
+  /** What all gateways have logged so far. */
+  QString logs();
+
+  /** A gateway's state dump. */
+  std::string state(int aIndex);
   /** Starts one more gateway; returns its index. */
   int addGateway();
 
@@ -47,6 +54,20 @@
   /** Of requests and answers; in the configurations that are written from now on. */
   void setMaxBodyBytes(qint64 aBytes) { mMaxBodyBytes = aBytes; }
 
+  /** Rows of the columns "name", "api-keys" and "priority", in the configurations that
+   * are written from now on; with them "/open/" is a public route. */
+  void setTenants(const std::string& aRows) { mTenants = aRows; }
+
+  /** What the settings of gateways that are started from now on say of keys. */
+  void setKeyPolicy(bool aFailsClosed, int aRevokeMs)
+  {
+    mFailsClosed = aFailsClosed;
+    mRevokeMs = aRevokeMs;
+  }
+
+  /** From its next start on, a gateway has no path to the store. */
+  void cutFromStore(int aIndex) { mCutFromStore.insert(aIndex); }
+
   /** Of gateways that are started from now on. */
   void setLimits(int aMaxFds, int aMemoryMb);
 
@@ -110,6 +131,7 @@
 
 private:
   static constexpr int kStoreHost = 2;
+  static constexpr int kNoStoreHost = 3; ///< nothing listens there
 
   static std::size_t at(int aIndex) { return static_cast<std::size_t>(aIndex); }
   void keepLog(int aIndex);
@@ -124,6 +146,10 @@
   int mNet;
   bool mWritesThroughOutages = false;
   qint64 mMaxBodyBytes = kMiB;
+  std::set<int> mCutFromStore;
+  std::string mTenants;
+  bool mFailsClosed = false;
+  int mRevokeMs = 5000;
   int mMaxFds = 4100;
   int mMemoryMb = 260;
   QTemporaryDir mDirectory;
--- a/tests/model/ModelEntry.cpp
+++ b/tests/model/ModelEntry.cpp
@@ -114,6 +114,7 @@
   auto& call = mCalls[aCall];
   const auto limit = LatencyLimit::of(mPreset,
                                       mPreset.routes[call.kind],
+                                      mPreset.routes[call.kind].rank,
                                       "s",
                                       call.request.arrivedAt,
                                       call.request.deadline,
--- a/tests/standins/Upstream.cpp
+++ b/tests/standins/Upstream.cpp
@@ -252,6 +252,13 @@
   if (mIsPlatform) {
     const auto id = headerOf(aRequest, kRequestId);
     response.headers.push_back({ "Masticwall-Server-Signature", mName + '.' + id });
+    for (const auto& it : aRequest.headers) {
+      const auto name = QString::fromStdString(it.name).toLower();
+      if (name == QLatin1String("masticwall-tenant") ||
+          name == QLatin1String("authorization")) {
+        response.headers.push_back({ "Echo-" + it.name, it.value });
+      }
+    }
   }
   response.status = mErrorStatus.value_or(response.status);
   response.body = aRequest.method + ' ' + aRequest.target + '\n' + aRequest.body;
