Bound the bodies of callers' requests together, and refuse by the declared length

Change: one budget for a process, an eighth of its memory: a body reserves its declared length when the head is complete, before "100 Continue" and before a byte of it is read; one in chunks as it grows. The reservation belongs to the request and its copies, so that it lasts until the call has ended; a caller that goes gives it back. Beyond the budget: 503 with Retry-After, the connection is closed, body-refused is logged. A declared length beyond the limit of one body is refused with the head as well. Not built: passing a body on while it is read; refusing a wrong key before the body is read.

--- a/libs/entry/include/entry/EntryTables.h
+++ b/libs/entry/include/entry/EntryTables.h
@@ -30,6 +30,12 @@
  */
 inline constexpr std::size_t kMessageBytesDivisor = 24;
 
+/**
+ * The part of the process's memory for the bodies of requests, from when their length is
+ * known until their calls have ended. While one is sent, there are two more copies of it.
+ */
+inline constexpr std::size_t kRequestBytesDivisor = 8;
+
 /** The settings, tables and counters that the workers of an entry process share. All
  * are thread-safe. */
 struct EntryTables
@@ -39,6 +45,8 @@
     , incarnation(aIncarnation)
     , messageBytes(
         std::make_shared<http::ByteBudget>(aSettings.memoryBytes / kMessageBytesDivisor))
+    , requestBytes(
+        std::make_shared<http::ByteBudget>(aSettings.memoryBytes / kRequestBytesDivisor))
     , upstreams(aSettings.locality(), aIncarnation)
     , gauges(static_cast<std::size_t>(aSettings.workers))
   {
@@ -48,6 +56,7 @@
   const std::uint64_t incarnation; ///< random for each start; part of its claims' ids
   /** Of the callers' and upstreams' connections of all workers. */
   const std::shared_ptr<http::ByteBudget> messageBytes;
+  const std::shared_ptr<http::ByteBudget> requestBytes; ///< of callers, likewise
   PresetTable presets;
   MembershipTable membership;
   AdmissionTable admission;
--- a/libs/entry/src/EntryWorker.cpp
+++ b/libs/entry/src/EntryWorker.cpp
@@ -1,6 +1,7 @@
 #include "EntryWorker.h"
 #include "CallId.h"
 #include <decide/DescriptorBudget.h>
+#include <http/HttpError.h>
 #include <sys/resource.h>
 #include <telemetry/EventLog.h>
 
@@ -52,11 +53,12 @@
     [raw](http::Request aRequest, http::ResponderPtr aResponder) {
       raw->onRequest(std::move(aRequest), std::move(aResponder));
     },
-    aContext.dialect.encodeHttpError,
+    [raw](const std::error_code& aError) { return raw->encodeHttpError(aError); },
     [](const std::string& aError) {
       logEvent(LogEvent::AcceptFailed, { { "error", aError } });
     },
-    aContext.tables.messageBytes);
+    aContext.tables.messageBytes,
+    aContext.tables.requestBytes);
   if (listener.has_error()) {
     return listener.error();
   }
@@ -77,6 +79,19 @@
 
 EntryWorker::~EntryWorker() = default;
 
+http::Response
+EntryWorker::encodeHttpError(const std::error_code& aError)
+{
+  if (aError != HttpError::NoRoom) {
+    return mContext.dialect.encodeHttpError(aError);
+  }
+  logEvent(LogEvent::BodyRefused, { { "used_bytes", mTables.requestBytes->used() } });
+  auto response = mContext.dialect.encodeOutcome(
+    Outcome::NotRun, CallError::Overload, RetryAfterRange().draw(mRandom));
+  response.keepAlive = false; // the body may be on its way
+  return response;
+}
+
 void
 EntryWorker::onPresetChanged()
 {
--- a/libs/entry/src/EntryWorker.h
+++ b/libs/entry/src/EntryWorker.h
@@ -83,6 +83,9 @@
   void refuseUnrouted(const CallMetadata& aMetadata,
                       const http::ResponderPtr& aResponder,
                       CallError aError);
+
+  /** The response to a request that could not be received. */
+  http::Response encodeHttpError(const std::error_code& aError);
   void respondToHealthCheck(const http::ResponderPtr& aResponder) const;
   void startCall(Call& aCall);
 
--- a/libs/http/include/http/ByteBudget.h
+++ b/libs/http/include/http/ByteBudget.h
@@ -8,10 +8,10 @@
 namespace masticwall::http {
 
 /**
- * A limit on the bytes of responses that a process holds in memory, over all connections:
- * of those that are being received, and of those that callers have not taken yet. Whoever
- * finds it exceeded ends the connection that holds most of them.
- * Thread-safe, without a lock.
+ * A limit on bytes that a process holds in memory, over all connections. Of responses, it
+ * counts those that are being received, and those that callers have not taken yet:
+ * whoever finds it exceeded ends the connection that holds most of them. Of requests'
+ * bodies, it is reserved before they are read. Thread-safe, without a lock.
  */
 class ByteBudget
 {
@@ -32,6 +32,20 @@
   /** Changes the bytes in use. */
   void add(std::int64_t aBytes) { mUsed += aBytes; }
 
+  /** Adds bytes to those in use, unless that would exceed the limit. */
+  bool tryAdd(std::int64_t aBytes)
+  {
+    auto used = mUsed.load();
+    while (aBytes <= mLimit - used) {
+      if (mUsed.compare_exchange_weak(used, used + aBytes)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  std::int64_t used() const { return mUsed; }
+
 private:
   static constexpr std::size_t kMaxMessageDivisor = 2;
 
--- a/libs/http/include/http/HttpError.h
+++ b/libs/http/include/http/HttpError.h
@@ -18,6 +18,7 @@
   BadField,              ///< a line of a head is no field
   BadFraming,            ///< fields or chunks that don't tell where the message ends
   FoldedField,           ///< a line of a head continues the one before it
+  NoRoom,   ///< the bodies of all requests together leave no room for this one
   Unframed, ///< a response without a length, delimited by the connection's close
 };
 
@@ -25,7 +26,7 @@
 struct EnumTable<HttpError>
 {
   static constexpr const char* kCategory = "http";
-  static constexpr std::array<EnumName<HttpError>, 12> kEntries{ {
+  static constexpr std::array<EnumName<HttpError>, 13> kEntries{ {
     { HttpError::Malformed, "malformed" },
     { HttpError::HeaderTooLarge, "header-too-large" },
     { HttpError::BodyTooLarge, "body-too-large" },
@@ -37,6 +38,7 @@
     { HttpError::BadField, "bad-field" },
     { HttpError::BadFraming, "bad-framing" },
     { HttpError::FoldedField, "folded-field" },
+    { HttpError::NoRoom, "no-room" },
     { HttpError::Unframed, "unframed" },
   } };
 };
--- a/libs/http/include/http/HttpErrorStatus.h
+++ b/libs/http/include/http/HttpErrorStatus.h
@@ -16,6 +16,8 @@
       return 413;
     case HttpError::Timeout:
       return 408;
+    case HttpError::NoRoom:
+      return 503;
     case HttpError::UnknownTransferCoding:
       return 501;
     default:
--- a/libs/http/include/http/HttpListener.h
+++ b/libs/http/include/http/HttpListener.h
@@ -20,6 +20,9 @@
  * If the messages that connections hold exceed the budget of bytes, the connection whose
  * caller has left the most of its responses untaken is reset.
  *
+ * A request for whose body the budget of bodies has no room is refused before its body is
+ * read, or, if it doesn't say its length, where the room ends; HttpError::NoRoom.
+ *
  * At the limit of connections, a new one takes the place of the one that has been idle
  * for longest. While none is idle, no connection is accepted; those that come wait in the
  * system's queue.
@@ -43,7 +46,8 @@
     Handler aHandler,
     ErrorResponder aErrorResponder,
     AcceptErrorObserver aOnAcceptError = nullptr,
-    std::shared_ptr<ByteBudget> aBudget = makeDefaultBudget());
+    std::shared_ptr<ByteBudget> aBudget = makeDefaultBudget(),
+    std::shared_ptr<ByteBudget> aBodies = nullptr);
   ~HttpListener();
 
   std::uint16_t port() const;
--- a/libs/http/include/http/Request.h
+++ b/libs/http/include/http/Request.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <http/BodyReservation.h>
 #include <http/Header.h>
+#include <memory>
 
 namespace masticwall::http {
 
@@ -13,6 +15,8 @@
   std::string body;
   bool keepAlive = true; ///< the caller allows further requests on its connection
   bool isHttp10 = false;
+  /** Of the budget that bounds all bodies together; null if there is none. */
+  std::shared_ptr<BodyReservation> reservation{};
 };
 
 } // namespace masticwall::http
--- a/libs/http/include/http/RequestParser.h
+++ b/libs/http/include/http/RequestParser.h
@@ -13,14 +13,17 @@
 class RequestParser
 {
 public:
-  explicit RequestParser(const MessageLimits& aLimits);
+  /** `aBodies` bounds the bodies of all requests together; null: they are not bounded. */
+  explicit RequestParser(const MessageLimits& aLimits,
+                         std::shared_ptr<ByteBudget> aBodies = nullptr);
   ~RequestParser();
   RequestParser(RequestParser&&) noexcept;
   RequestParser& operator=(RequestParser&&) noexcept;
 
   /**
    * Consumes bytes from the front of `aBytes`. Returns the request once it is complete,
-   * nothing while more bytes are needed, or an HttpError.
+   * nothing while more bytes are needed, or an HttpError. HttpError::NoRoom comes before
+   * a byte of the body is read, if the request says its length.
    */
   Result<std::optional<Request>> feed(QByteArray& aBytes);
 
--- a/libs/http/src/CallerConnection.cpp
+++ b/libs/http/src/CallerConnection.cpp
@@ -262,7 +262,7 @@
       mIsReadingRequest = true;
       mHasSentContinue = false;
       mRequestStartedAt = steadyNow();
-      mParser.emplace(mContext->settings.message);
+      mParser.emplace(mContext->settings.message, mContext->bodies);
     }
     const auto sizeBefore = mBytes.size();
     auto request = mParser->feed(mBytes);
@@ -303,6 +303,7 @@
 {
   mIsClosing = true;
   mIsReadingRequest = false;
+  mParser.reset(); // gives back the room for the body
   mBytes.clear();
   Request unparsed;
   unparsed.keepAlive = false;
--- a/libs/http/src/CallerConnection.h
+++ b/libs/http/src/CallerConnection.h
@@ -19,6 +19,7 @@
     HttpListener::Handler handler;
     HttpListener::ErrorResponder errorResponder;
     std::shared_ptr<ByteBudget> budget;
+    std::shared_ptr<ByteBudget> bodies; ///< of requests; null: not bounded together
     /** Called when responses that callers don't take exceed the budget. */
     std::function<void()> onOverBudget;
     /** Connections read no request behind a pending one, and close after the last pending
--- a/libs/http/src/HttpListener.cpp
+++ b/libs/http/src/HttpListener.cpp
@@ -140,7 +140,8 @@
                      Handler aHandler,
                      ErrorResponder aErrorResponder,
                      AcceptErrorObserver aOnAcceptError,
-                     std::shared_ptr<ByteBudget> aBudget)
+                     std::shared_ptr<ByteBudget> aBudget,
+                     std::shared_ptr<ByteBudget> aBodies)
 {
   auto fd = listenShared(aHost, aPort);
   if (fd.has_error()) {
@@ -156,6 +157,7 @@
   impl->context->handler = std::move(aHandler);
   impl->context->errorResponder = std::move(aErrorResponder);
   impl->context->budget = std::move(aBudget);
+  impl->context->bodies = std::move(aBodies);
   auto* const raw = impl.get();
   impl->context->onOverBudget = [raw] { raw->resetLargest(); };
   // Qt accepts no more while one is pending. The others wait in the system's queue, where
--- a/libs/http/src/RequestParser.cpp
+++ b/libs/http/src/RequestParser.cpp
@@ -43,6 +43,62 @@
 {
   beast::request_parser<beast::string_body> parser;
   MessageLimits limits;
+  std::shared_ptr<ByteBudget> bodies;
+  std::shared_ptr<BodyReservation> reservation;
+
+  /** Feeds the parser up to the end of the head. */
+  std::error_code feedHead(QByteArray& aBytes)
+  {
+    boost::system::error_code ec;
+    qsizetype consumed = 0;
+    parser.eager(false); // stops at the end of the head
+    while (consumed < aBytes.size() && !parser.is_header_done() && !ec) {
+      const boost::asio::const_buffer buf(
+        aBytes.constData() + consumed,
+        static_cast<std::size_t>(aBytes.size() - consumed));
+      consumed += static_cast<qsizetype>(parser.put(buf, ec));
+    }
+    parser.eager(true);
+    aBytes.remove(0, consumed);
+    if (ec && ec != beast::error::need_more) {
+      return toHttpError(ec);
+    }
+    return parser.is_header_done() ? checkHead() : std::error_code();
+  }
+
+  std::error_code checkHead()
+  {
+    if (const auto error = checkFraming(parser.get())) {
+      return *error;
+    }
+    const auto length = parser.content_length();
+    if (length && *length > limits.maxBodyBytes) {
+      return HttpError::BodyTooLarge;
+    }
+    if (bodies != nullptr && (length.value_or(0) > 0 || parser.chunked())) {
+      reservation = std::make_shared<BodyReservation>(bodies);
+      return reserve(length.value_or(0));
+    }
+    return {};
+  }
+
+  std::error_code reserve(std::uint64_t aBytes)
+  {
+    const bool hasRoom = reservation == nullptr || reservation->tryGrowTo(aBytes);
+    return hasRoom ? std::error_code() : HttpError::NoRoom;
+  }
+
+  std::error_code feed(QByteArray& aBytes)
+  {
+    if (!parser.is_header_done()) {
+      const auto headError = feedHead(aBytes);
+      if (headError || !parser.is_header_done()) {
+        return headError;
+      }
+    }
+    const auto ec = feedParser(parser, aBytes);
+    return ec ? toHttpError(ec) : reserve(parser.get().body().size());
+  }
 
   Request releaseRequest()
   {
@@ -54,15 +110,17 @@
     request.keepAlive = message.keep_alive();
     request.isHttp10 = message.version() < 11;
     request.body = std::move(message.body());
+    request.reservation = std::move(reservation);
     return request;
   }
 };
 
-RequestParser::RequestParser(const MessageLimits& aLimits)
+RequestParser::RequestParser(const MessageLimits& aLimits,
+                             std::shared_ptr<ByteBudget> aBodies)
   : mImpl(std::make_unique<Impl>())
 {
   mImpl->limits = aLimits;
-  mImpl->parser.eager(true);
+  mImpl->bodies = std::move(aBodies);
   mImpl->parser.header_limit(std::min(aLimits.maxHeaderBytes, kMaxHeaderBytes));
   mImpl->parser.body_limit(aLimits.maxBodyBytes);
 }
@@ -75,13 +133,12 @@
 Result<std::optional<Request>>
 RequestParser::feed(QByteArray& aBytes)
 {
-  const auto ec = feedParser(mImpl->parser, aBytes);
-  if (ec) {
-    return toHttpError(ec);
+  if (const auto error = mImpl->feed(aBytes)) {
+    return error;
   }
   if (mImpl->parser.is_header_done()) {
     if (const auto error = checkFraming(mImpl->parser.get())) {
-      return *error;
+      return *error; // Beast adds a trailer's fields to those of the head
     }
   }
   if (isLineTooLong(mImpl->parser, aBytes, mImpl->limits)) {
--- a/libs/telemetry/include/telemetry/LogEvent.h
+++ b/libs/telemetry/include/telemetry/LogEvent.h
@@ -46,6 +46,7 @@
   ReloadRequested,
   Reloaded,
   CallRefused,       ///< refused before it was matched to a route
+  BodyRefused,       ///< no room for a request's body beside those of others
   KeyRefused,        ///< refused for its key, which is not logged
   TenantKeyBad,      ///< the keys of a tenant in the preset are not as they should be
   CallEnded,         ///< logged if failed or later than the route's target; else sampled
@@ -68,7 +69,7 @@
 template<>
 struct EnumTable<LogEvent>
 {
-  static constexpr std::array<EnumName<LogEvent>, 55> kEntries{ {
+  static constexpr std::array<EnumName<LogEvent>, 56> kEntries{ {
     { LogEvent::Started, "started" },
     { LogEvent::Stopped, "stopped" },
     { LogEvent::StopRequested, "stop-requested" },
@@ -107,6 +108,7 @@
     { LogEvent::ReloadRequested, "reload-requested" },
     { LogEvent::Reloaded, "reloaded" },
     { LogEvent::CallRefused, "call-refused" },
+    { LogEvent::BodyRefused, "body-refused" },
     { LogEvent::KeyRefused, "key-refused" },
     { LogEvent::TenantKeyBad, "tenant-key-bad" },
     { LogEvent::CallEnded, "call-ended" },
