Run calls only in the regions that their route and tenant allow

Change: AllowedRegions tells any, some and nowhere apart, as two restrictions may exclude each other. A call's regions are set at its arrival, with the preset that it keeps, and are part of each choice (all policies), load query, request for permits and question for availability, so that a call without an upstream there is refused before it queues; waiting ones are refused when the last upstream of a region closes.

--- a/libs/decide/include/decide/CandidateFilter.h
+++ b/libs/decide/include/decide/CandidateFilter.h
@@ -1,34 +1,25 @@
 #pragma once
 
 #include <algorithm>
+#include <decide/AllowedRegions.h>
 #include <decide/UpstreamAddress.h>
 #include <span>
 #include <string>
 
 namespace masticwall {
 
-/** Which upstreams a call may be sent to, whatever state they are in. Views only: what
- * they refer to must outlive the filter. */
+/** Which upstreams a call may be sent to, whatever state they are in. `excluded` is a
+ * view of names that must outlive the filter. */
 struct CandidateFilter
 {
   int maxInFlight = 1;                     ///< calls from this process to one upstream
   std::span<const std::string> excluded{}; ///< names, as already tried for this call
-  std::span<const std::string> allowedRegions{}; ///< empty: any
-
-  bool allowsRegion(const std::string& aRegion) const
-  {
-    return allowedRegions.empty() || contains(allowedRegions, aRegion);
-  }
+  AllowedRegions allowedRegions{};
 
   bool allows(const UpstreamAddress& aUpstream) const
   {
-    return allowsRegion(aUpstream.region) && !contains(excluded, aUpstream.name);
-  }
-
-private:
-  static bool contains(std::span<const std::string> aNames, const std::string& aName)
-  {
-    return std::find(aNames.begin(), aNames.end(), aName) != aNames.end();
+    return allowedRegions.allows(aUpstream.region) &&
+           std::find(excluded.begin(), excluded.end(), aUpstream.name) == excluded.end();
   }
 };
 
--- a/libs/decide/include/decide/Route.h
+++ b/libs/decide/include/decide/Route.h
@@ -2,6 +2,7 @@
 
 #include <core/Rank.h>
 #include <core/Time.h>
+#include <decide/AllowedRegions.h>
 #include <decide/WeightedService.h>
 #include <string>
 #include <vector>
@@ -24,8 +25,7 @@
   int attempts = 3;          ///< max attempts of one call, with the first
   Duration target{ 0 };      ///< max latency that is wanted, from arrival; 0: none
   bool isPublic = false;     ///< calls need no tenant's key
-  std::vector<std::string>
-    allowedRegions{}; ///< of upstreams that may run the calls; empty: any
+  AllowedRegions allowedRegions{}; ///< of upstreams that may run the calls
 };
 
 } // namespace masticwall
--- a/libs/decide/include/decide/UpstreamPool.h
+++ b/libs/decide/include/decide/UpstreamPool.h
@@ -236,8 +236,11 @@
                       bool aHasPermit,
                       Instant aNow) const;
 
-  /** Whether a call of `aRank` can be sent, at once or after a request for a permit. */
-  ServiceAvailability availability(Rank aRank, Instant aNow) const;
+  /** Whether a call of `aRank` that may run in `aAllowedRegions` can be sent, at once or
+   * after a request for a permit. */
+  ServiceAvailability availability(Rank aRank,
+                                   Instant aNow,
+                                   const AllowedRegions& aAllowedRegions = {}) const;
 
   /** The regions that have upstreams, after `aLocalRegion`, which always comes first. */
   std::vector<std::string> regions(std::string_view aLocalRegion) const;
--- a/libs/decide/src/UpstreamPool.cpp
+++ b/libs/decide/src/UpstreamPool.cpp
@@ -150,10 +150,15 @@
 }
 
 ServiceAvailability
-UpstreamPool::availability(Rank aRank, Instant aNow) const
+UpstreamPool::availability(Rank aRank,
+                           Instant aNow,
+                           const AllowedRegions& aAllowedRegions) const
 {
   ServiceAvailability availability;
   for (const auto& it : mStates) {
+    if (!aAllowedRegions.allows(it->address.region)) {
+      continue;
+    }
     if (it->acceptsRequests(aNow) || it->mayRequestPermit(aRank, aNow)) {
       return { true, std::nullopt, false };
     }
--- a/libs/entry/src/Call.h
+++ b/libs/entry/src/Call.h
@@ -28,6 +28,9 @@
   const Route* route = nullptr;
   const Tenant* tenant = nullptr; ///< owned by `preset`; null: the call carries no key
   std::string service;            ///< the route's, or one from its traffic split
+  /** Of the route and the tenant, which both bind. As of the call's arrival, like all of
+   * `preset`: a change binds the calls that arrive after it. */
+  AllowedRegions allowedRegions;
   CallMetadata metadata;
   http::Request request;
   http::ResponderPtr responder;
--- a/libs/entry/src/EntryWorker.cpp
+++ b/libs/entry/src/EntryWorker.cpp
@@ -195,7 +195,11 @@
 void
 EntryWorker::eraseCall(std::uint64_t aCall)
 {
-  mCalls.erase(aCall);
+  const auto it = mCalls.find(aCall);
+  if (it != mCalls.end()) {
+    mRestrictedCalls -= it->second->allowedRegions.isAny() ? 0 : 1;
+    mCalls.erase(it);
+  }
 }
 
 void
--- a/libs/entry/src/EntryWorker.h
+++ b/libs/entry/src/EntryWorker.h
@@ -141,11 +141,26 @@
                        Duration aDuration,
                        ReportSource aSource);
 
-  /** Refuses the waiting calls of a service that no upstream can get. */
+  // Availability
+  /** Sets the regions in which the call may run. */
+  void restrictRegions(Call& aCall);
+
+  /** Whether an upstream that the call may use takes it now. */
+  ServiceAvailability availabilityFor(const Call& aCall) const;
+
+  /** Refuses the waiting calls that no upstream can get, after `aUpstream` has ceased to
+   * accept requests. */
+  void refuseWaitingIfUnavailable(const UpstreamAddress& aUpstream);
+
+  /** The same for all upstreams of a service. */
   void refuseWaitingIfUnavailable(const std::string& aService);
+
+  /** The same for this worker's calls that may run in some regions only; of all services
+   * if `aService` is empty. */
+  void refuseRestricted(const std::string& aService);
   void onUnavailable(std::uint64_t aCall);
 
-  /** Ends a call that no upstream can run: all leave, are held off or have no permit. */
+  /** Ends a call that no upstream can run now. */
   void endAsUnavailable(Call& aCall);
 
   /** Until the first upstream may accept the call again; 0 if any accepts it now, or none
@@ -214,6 +229,7 @@
   http::UpstreamConnectionPool mUpstreamConnections;
   std::unique_ptr<http::HttpListener> mListener;
   std::unordered_map<std::uint64_t, std::unique_ptr<Call>> mCalls;
+  std::size_t mRestrictedCalls = 0; ///< those of `mCalls` that may not run in any region
   std::uint64_t mNextSequence = 1;
   std::optional<TokenBucket> mLoadQueryBudget; ///< set with the first preset
   RetryBudget mRetryBudget;
--- a/libs/entry/src/EntryWorkerArrival.cpp
+++ b/libs/entry/src/EntryWorkerArrival.cpp
@@ -92,6 +92,7 @@
 EntryWorker::startCall(Call& aCall)
 {
   const auto id = aCall.id;
+  restrictRegions(aCall);
   aCall.responder->onDisconnect([this, id] { onCallerGone(id); });
   aCall.deadlineTimer =
     mTimers.scheduleAt(aCall.deadline, [this, id] { onDeadline(id); });
@@ -152,8 +153,7 @@
 void
 EntryWorker::requestAdmission(Call& aCall)
 {
-  const auto rank = aCall.route->rank;
-  if (!mTables.upstreams.availability(aCall.service, rank, mTimers.now()).isAvailable) {
+  if (!availabilityFor(aCall).isAvailable) {
     endAsUnavailable(aCall);
     return;
   }
--- a/libs/entry/src/EntryWorkerPermits.cpp
+++ b/libs/entry/src/EntryWorkerPermits.cpp
@@ -61,7 +61,7 @@
   if (aGrant.permits == 0) {
     mTables.metrics.count(Counter::LimitedRequests, "no-permit");
     mPermitWaits.erase(it);
-    refuseWaitingIfUnavailable(aUpstream.service);
+    refuseWaitingIfUnavailable(aUpstream);
   } else {
     it->second.wanted = std::max(1, static_cast<int>(waiting.size()) - aGrant.permits);
   }
--- a/libs/entry/src/EntryWorkerSending.cpp
+++ b/libs/entry/src/EntryWorkerSending.cpp
@@ -44,7 +44,8 @@
                             aCall.service,
                             aCall.arrivedAt,
                             aCall.deadline,
-                            mTimers.now()) };
+                            mTimers.now()),
+           aCall.allowedRegions };
 }
 
 void
@@ -64,8 +65,7 @@
     const bool hasNothingToReport =
       !aCall.wasShed && !aCall.mayHaveRun && !aCall.lastErrorResponse.has_value();
     if (hasNothingToReport && chosen.error() == CallError::NoUpstream &&
-        !mTables.upstreams.availability(aCall.service, aCall.route->rank, now)
-           .isAvailable) {
+        !availabilityFor(aCall).isAvailable) {
       endAsUnavailable(aCall);
       return;
     }
--- a/libs/entry/src/EntryWorkerSignals.cpp
+++ b/libs/entry/src/EntryWorkerSignals.cpp
@@ -107,7 +107,7 @@
       context.controlPlane.reportLeaving(name, instance);
     }
   });
-  refuseWaitingIfUnavailable(aUpstream.service);
+  refuseWaitingIfUnavailable(aUpstream);
 }
 
 void
@@ -124,57 +124,7 @@
              { "sign", nameOf(aSource) },
              { "asked_ms", toMilliseconds(aDuration) },
              { "held_off_ms", toMilliseconds(until - now) } });
-  refuseWaitingIfUnavailable(aUpstream.service);
-}
-
-void
-EntryWorker::refuseWaitingIfUnavailable(const std::string& aService)
-{
-  const auto now = mTimers.now();
-  for (const auto& rank : EnumTable<Rank>::kEntries) {
-    if (mTables.upstreams.availability(aService, rank.value, now).isAvailable) {
-      continue;
-    }
-    // What a call can't get, less urgent ones can't get either.
-    for (const auto& it : mTables.admission.removeWaiting(aService, rank.value)) {
-      mContext.postToWorker(it.worker, [call = it.call](EntryWorker& aWorker) {
-        aWorker.onUnavailable(call);
-      });
-    }
-    return;
-  }
-}
-
-void
-EntryWorker::onUnavailable(std::uint64_t aCall)
-{
-  auto* const call = findCall(aCall);
-  if (call != nullptr && call->stage == CallStage::Waiting) {
-    endAsUnavailable(*call);
-  }
-}
-
-void
-EntryWorker::endAsUnavailable(Call& aCall)
-{
-  const auto availability =
-    mTables.upstreams.availability(aCall.service, aCall.route->rank, mTimers.now());
-  if (availability.isLimited) {
-    endWithError(aCall, CallError::Limited);
-  } else {
-    endWithError(aCall,
-                 availability.nextAt.has_value() ? CallError::HeldOff
-                                                 : CallError::NoUpstream);
-  }
-}
-
-Duration
-EntryWorker::timeUntilAvailable(const Call& aCall) const
-{
-  const auto now = mTimers.now();
-  const auto nextAt =
-    mTables.upstreams.availability(aCall.service, aCall.route->rank, now).nextAt;
-  return nextAt.has_value() ? std::max(Duration{ 0 }, *nextAt - now) : Duration{ 0 };
+  refuseWaitingIfUnavailable(aUpstream);
 }
 
 } // namespace masticwall
--- a/libs/tables/include/tables/UpstreamQuery.h
+++ b/libs/tables/include/tables/UpstreamQuery.h
@@ -2,6 +2,7 @@
 
 #include <core/Rank.h>
 #include <cstddef>
+#include <decide/AllowedRegions.h>
 #include <decide/LatencyLimit.h>
 #include <string>
 #include <vector>
@@ -16,7 +17,7 @@
   std::size_t bytes = 0; ///< expected traffic between regions, if sent to another one
   std::vector<std::string> excluded; ///< names of upstreams not to choose
   LatencyLimit limit; ///< of the estimated latency; for the policy EstimatedLatency
-  std::vector<std::string> allowedRegions{}; ///< of upstreams; empty: any
+  AllowedRegions allowedRegions{}; ///< of upstreams
 };
 
 } // namespace masticwall
--- a/libs/tables/include/tables/UpstreamTable.h
+++ b/libs/tables/include/tables/UpstreamTable.h
@@ -90,9 +90,11 @@
                       bool aHasPermit,
                       Instant aNow) const;
 
-  /** Whether any upstream of the service may get a call of `aRank`. */
+  /** Whether any upstream of the service in `aAllowedRegions` may get a call of `aRank`.
+   */
   ServiceAvailability availability(const std::string& aService,
                                    Rank aRank,
+                                   const AllowedRegions& aAllowedRegions,
                                    Instant aNow) const;
 
   /** See UpstreamPool::typicalProcessingTime(); zero for an unknown service. */
--- a/libs/tables/src/UpstreamTable.cpp
+++ b/libs/tables/src/UpstreamTable.cpp
@@ -52,6 +52,9 @@
                               Instant aNow)
 {
   for (const auto& region : aPool.regions(mLocality.region)) {
+    if (!aQuery.allowedRegions.allows(region)) {
+      continue; // takes nothing from the link's budget
+    }
     const bool isLocal = region == mLocality.region;
     if (!isLocal && !reserveLinkBytes(aQuery, aNow)) {
       continue;
@@ -157,12 +160,15 @@
 }
 
 ServiceAvailability
-UpstreamTable::availability(const std::string& aService, Rank aRank, Instant aNow) const
+UpstreamTable::availability(const std::string& aService,
+                            Rank aRank,
+                            const AllowedRegions& aAllowedRegions,
+                            Instant aNow) const
 {
   std::scoped_lock lock(mMutex);
   const auto it = mPools.find(aService);
   return it == mPools.end() ? ServiceAvailability{}
-                            : it->second.availability(aRank, aNow);
+                            : it->second.availability(aRank, aNow, aAllowedRegions);
 }
 
 Duration
