Send nothing new to evacuated data centres

The names come with the reads that are made anyway, travel with each feed and the short replies to VMs that start, and close the upstreams in UpstreamPool: choice, load queries, permits, slots, availability, and once more just before a request is written. Waiting calls are refused with the reason "evacuated" if no other upstream is left; a VM in an evacuated region shares the slots of all. The return goes through slow start. Ruled out: a flag on each upstream (some 1,600 entries a change at the target); order by the store's offsets (a record that is taken back leaves none).

--- a/libs/core/include/core/CallError.h
+++ b/libs/core/include/core/CallError.h
@@ -24,6 +24,7 @@
   QueueTimeout,     ///< the deadline passed before the call was sent to an upstream
   DeadlinePassed,   ///< sent, but no complete response by the deadline
   NoUpstream,       ///< no upstream is available, or none could be connected to
+  Evacuated,        ///< all upstreams leave or are in evacuated data centres
   HeldOff,          ///< every upstream leaves or wants no requests for a time
   Limited,          ///< no upstream takes more requests for now: request limits
   ClaimUnavailable, ///< the shared log could not be read or written in time
@@ -40,7 +41,7 @@
 struct EnumTable<CallError>
 {
   static constexpr const char* kCategory = "call";
-  static constexpr std::array<EnumName<CallError>, 21> kEntries{ {
+  static constexpr std::array<EnumName<CallError>, 22> kEntries{ {
     { CallError::BadRequest, "bad-request" },
     { CallError::NoRoute, "no-route" },
     { CallError::UnknownKey, "unknown-key" },
@@ -52,6 +53,7 @@
     { CallError::QueueTimeout, "queue-timeout" },
     { CallError::DeadlinePassed, "deadline-passed" },
     { CallError::NoUpstream, "no-upstream" },
+    { CallError::Evacuated, "evacuated" },
     { CallError::HeldOff, "held-off" },
     { CallError::Limited, "limited" },
     { CallError::ClaimUnavailable, "claim-unavailable" },
--- a/libs/decide/include/decide/UpstreamPool.h
+++ b/libs/decide/include/decide/UpstreamPool.h
@@ -5,6 +5,7 @@
 #include <decide/AttemptOutcome.h>
 #include <decide/CandidateFinder.h>
 #include <decide/CandidateSelection.h>
+#include <decide/DataCentreNames.h>
 #include <decide/EstimatedLatency.h>
 #include <decide/FewestInFlight.h>
 #include <decide/HoldOffs.h>
@@ -38,6 +39,12 @@
    */
   void update(const std::vector<UpstreamAddress>& aAddresses, int aSlots, Instant aNow);
 
+  /**
+   * Sends no requests to the upstreams in `aDataCentres`, also not to those that are
+   * listed later. Upstreams in others that were evacuated go through slow start.
+   */
+  void setEvacuated(const DataCentreNames& aDataCentres, Instant aNow);
+
   /**
    * Selects an eligible upstream (see CandidateFinder) in `aRegion` (empty: in any) by
    * `aPolicy` and counts a call in flight to it; null if there is none. EstimatedLatency
@@ -251,7 +258,8 @@
     return mSlowUpstreams.typicalProcessingTime();
   }
 
-  /** Total slots of the upstreams in `aRegion` that are not leaving. */
+  /** Total slots of the upstreams in `aRegion` (empty: in all) that are neither leaving
+   * nor evacuated. */
   int slotsIn(std::string_view aRegion) const;
 
   /** A copy of the state of every upstream. */
@@ -300,6 +308,9 @@
     return chooseRandom(aCandidates, aRandom);
   }
 
+  /** Sets whether the upstream's data centre is evacuated. */
+  void setEvacuated(UpstreamState& aState, Instant aNow) const;
+
   /** Counts a call in flight, and takes a permit if one is needed. */
   void startCall(UpstreamState& aState, Instant aNow);
 
@@ -309,6 +320,7 @@
   UpstreamStates mStates;
   SlowUpstreams mSlowUpstreams;
   LeavingInstances mLeavingInstances;
+  DataCentreNames mEvacuated;
   HoldOffs mHoldOffs;
   RequestLimits mRequestLimits;
   double mMeanProcessingTimePercent =
--- a/libs/decide/include/decide/UpstreamState.h
+++ b/libs/decide/include/decide/UpstreamState.h
@@ -25,12 +25,16 @@
   Instant slowStartAt;    ///< when it was first listed, or its last hold-off ended
   Instant heldOffUntil;   ///< as it asked for with a refusal; see HoldOffs
   bool leaving = false;
+  bool evacuated = false;                   ///< its data centre is
   std::optional<RequestLimit> requestLimit; ///< empty: it takes any number
   PermitStock permits; ///< of this process, for requests within `requestLimit`
 
-  /** False for an upstream that leaves or is held off: it gets no calls, trial calls or
-   * load queries, even if no other is eligible. */
-  bool isOpen(Instant aNow) const { return !leaving && heldOffUntil <= aNow; }
+  /** False for an upstream that leaves, is evacuated or held off: it gets no calls, trial
+   * calls or load queries, even if no other is eligible. */
+  bool isOpen(Instant aNow) const { return isInUse() && heldOffUntil <= aNow; }
+
+  /** False for an upstream that leaves or is evacuated. */
+  bool isInUse() const { return !leaving && !evacuated; }
 
   /** Whether a request may be sent now: the upstream is open, and takes any number of
    * requests or a permit is left. */
--- a/libs/decide/src/UpstreamPool.cpp
+++ b/libs/decide/src/UpstreamPool.cpp
@@ -41,6 +41,7 @@
     state->address = it;
     state->slots = std::max(1, it.slots > 0 ? it.slots : aSlots);
     state->leaving = mLeavingInstances.contains(it);
+    setEvacuated(*state, aNow);
     state->heldOffUntil = std::max(state->heldOffUntil, mHoldOffs.until(it));
     state->requestLimit = mRequestLimits.find(it);
     states.push_back(std::move(state));
@@ -48,6 +49,27 @@
   mStates = std::move(states);
 }
 
+void
+UpstreamPool::setEvacuated(const DataCentreNames& aDataCentres, Instant aNow)
+{
+  if (aDataCentres == mEvacuated) {
+    return;
+  }
+  mEvacuated = aDataCentres;
+  for (const auto& it : mStates) {
+    setEvacuated(*it, aNow);
+  }
+}
+
+void
+UpstreamPool::setEvacuated(UpstreamState& aState, Instant aNow) const
+{
+  const bool isEvacuated = mEvacuated.count(aState.address.dataCentre) > 0;
+  if (std::exchange(aState.evacuated, isEvacuated) && !isEvacuated) {
+    aState.slowStartAt = aNow;
+  }
+}
+
 void
 UpstreamPool::recordAttemptEnd(std::string_view aName,
                                AttemptOutcome aOutcome,
@@ -162,7 +184,8 @@
     if (it->acceptsRequests(aNow) || it->mayRequestPermit(aRank, aNow)) {
       return { true, std::nullopt, false };
     }
-    if (it->leaving) {
+    if (!it->isInUse()) {
+      availability.isEvacuated = availability.isEvacuated || !it->leaving;
       continue;
     }
     auto nextAt = it->heldOffUntil;
@@ -193,7 +216,8 @@
 {
   int n = 0;
   for (const auto& it : mStates) {
-    n += it->leaving || it->address.region != aRegion ? 0 : it->slots;
+    const bool isInRegion = aRegion.empty() || it->address.region == aRegion;
+    n += it->isInUse() && isInRegion ? it->slots : 0;
   }
   return n;
 }
--- a/libs/entry/src/EntryProcess.cpp
+++ b/libs/entry/src/EntryProcess.cpp
@@ -168,6 +168,9 @@
 {
   applyMembership(tables, timers.now());
   postToEachWorker([](EntryWorker& aWorker) { aWorker.onPresetChanged(); });
+  if (!tables.membership.evacuated().empty()) {
+    postToEachWorker([](EntryWorker& aWorker) { aWorker.onEvacuated(); });
+  }
   if (isListedAsLeaving(tables)) {
     startDrain();
   }
--- a/libs/entry/src/EntryWorker.h
+++ b/libs/entry/src/EntryWorker.h
@@ -30,6 +30,10 @@
                                                      std::uint32_t aIndex);
   ~EntryWorker();
 
+  /** Refuses the waiting calls that no upstream can get, as data centres are evacuated.
+   */
+  void onEvacuated();
+
   /** Admission gave a slot to a waiting call of `aService`. */
   void onSlotGranted(std::uint64_t aCall, const std::string& aService);
 
--- a/libs/entry/src/EntryWorkerAvailability.cpp
+++ b/libs/entry/src/EntryWorkerAvailability.cpp
@@ -1,7 +1,7 @@
 #include "EntryWorker.h"
 
 // The part of EntryWorker that refuses calls which no upstream can run now: all of those
-// that they may use leave, are held off or have no permit.
+// that they may use leave, are evacuated, are held off or have no permit.
 namespace masticwall {
 
 namespace {
@@ -29,6 +29,19 @@
     aCall.service, aCall.route->rank, aCall.allowedRegions, mTimers.now());
 }
 
+void
+EntryWorker::onEvacuated()
+{
+  refuseRestricted({});
+  const auto preset = mTables.presets.current();
+  if (preset == nullptr || mIndex != 0) {
+    return; // all workers are told, but one is enough for the shared queues
+  }
+  for (const auto& it : preset->services) {
+    refuseWaitingIfUnavailable(it.name);
+  }
+}
+
 void
 EntryWorker::refuseWaitingIfUnavailable(const UpstreamAddress& aUpstream)
 {
@@ -100,10 +113,11 @@
   const auto availability = availabilityFor(aCall);
   if (availability.isLimited) {
     endWithError(aCall, CallError::Limited);
+  } else if (availability.nextAt.has_value()) {
+    endWithError(aCall, CallError::HeldOff);
   } else {
     endWithError(aCall,
-                 availability.nextAt.has_value() ? CallError::HeldOff
-                                                 : CallError::NoUpstream);
+                 availability.isEvacuated ? CallError::Evacuated : CallError::NoUpstream);
   }
 }
 
--- a/libs/entry/src/MembershipUpdate.cpp
+++ b/libs/entry/src/MembershipUpdate.cpp
@@ -55,7 +55,8 @@
   const auto& region = aTables.settings.common.region;
   const auto addresses = upstreamsOf(list);
   aTables.upstreamCount = static_cast<int>(addresses.size());
-  aTables.upstreams.update(*preset, addresses, aNow);
+  const auto evacuated = aTables.membership.evacuated();
+  aTables.upstreams.update(*preset, addresses, evacuated, aNow);
   for (const auto& it : list) {
     if (it.role == VmRole::Upstream && it.leaving) {
       aTables.upstreams.markLeaving(
@@ -64,8 +65,13 @@
   }
   const auto entries = countEntries(list, region);
   for (const auto& it : preset->services) {
+    const auto localSlots = aTables.upstreams.slotsIn(it.name, region);
+    // With a whole region evacuated, the upstreams of the others serve its calls.
+    const bool servesElsewhere = localSlots == 0 && !evacuated.empty();
     const auto inFlightLimit =
-      preset->limits.overcommit * aTables.upstreams.slotsIn(it.name, region) / entries;
+      servesElsewhere ? preset->limits.overcommit *
+                          aTables.upstreams.slotsIn(it.name, {}) / aTables.entryCount
+                      : preset->limits.overcommit * localSlots / entries;
     aTables.admission.configure(it.name,
                                 preset->ranks,
                                 static_cast<int>(std::ceil(inFlightLimit)),
--- a/libs/entry/src/ProcessGauges.cpp
+++ b/libs/entry/src/ProcessGauges.cpp
@@ -15,6 +15,8 @@
                 std::chrono::duration<double>(aControlPlane.sourceAge()).count());
   }
   metrics.set(Gauge::Upstreams, aTables.upstreamCount);
+  metrics.set(Gauge::EvacuatedDataCentres,
+              static_cast<double>(aTables.membership.evacuated().size()));
   metrics.set(Gauge::EntryProcesses, aTables.entryCount);
   metrics.set(Gauge::LogLinesSuppressed, static_cast<double>(suppressedLogLines()));
   std::size_t calls = 0;
--- a/libs/entry/src/StateDump.cpp
+++ b/libs/entry/src/StateDump.cpp
@@ -37,6 +37,16 @@
   return list;
 }
 
+QJsonArray
+dumpEvacuated(const EntryTables& aTables)
+{
+  QJsonArray list;
+  for (const auto& it : aTables.membership.evacuated()) {
+    list.append(toQString(it));
+  }
+  return list;
+}
+
 QJsonArray
 dumpAdmission(const EntryTables& aTables)
 {
@@ -86,6 +96,7 @@
     { QStringLiteral("version"),
       preset == nullptr ? 0 : static_cast<qint64>(preset->version) },
     { QStringLiteral("orders"), static_cast<qint64>(aTables.orders.size()) },
+    { QStringLiteral("evacuated"), dumpEvacuated(aTables) },
     { QStringLiteral("upstreams"), dumpUpstreams(aTables) },
     { QStringLiteral("admission"), dumpAdmission(aTables) },
     { QStringLiteral("calls"), aTables.statistics.toJson() },
--- a/libs/gateway/include/gateway/ConfigSync.h
+++ b/libs/gateway/include/gateway/ConfigSync.h
@@ -143,6 +143,13 @@
   /** Adapts to a source that has come back from an older copy, if the era says so. */
   void recordEra(std::optional<std::uint64_t> aEra);
 
+  // Evacuated data centres
+  void applyEvacuated(const Feed& aFeed);
+  void applyEvacuated(const SourceSnapshot& aSnapshot);
+
+  /** Puts the evacuated data centres into the tables and logs what has changed. */
+  void publishEvacuated();
+
   // Members
 
   /** While this VM is the one that reads for all: asks the other VMs in turn whether they
@@ -195,7 +202,8 @@
   TimerHandle mSweepTimer;
   VmListMerger mMerger;
   GoneInstances mGoneInstances;
-  Instant mLastReplyAt; ///< of another VM
+  DataCentreNames mKeptEvacuations; ///< as logged
+  Instant mLastReplyAt;             ///< of another VM
   Instant mRestoredAt; ///< when the source came back from an older copy; Instant{}: never
   FeedCursor mCursor;  ///< position in the feed of the polled peer
   std::optional<std::size_t> mPeerIndex; ///< polled peer, in the feed candidates
@@ -217,6 +225,7 @@
 
 } // namespace masticwall
 
+#include <gateway/ConfigSyncEvacuations.h>
 #include <gateway/ConfigSyncFeeds.h>
 #include <gateway/ConfigSyncMembers.h>
 #include <gateway/ConfigSyncReading.h>
--- a/libs/gateway/include/gateway/ConfigSyncFeeds.h
+++ b/libs/gateway/include/gateway/ConfigSyncFeeds.h
@@ -96,6 +96,7 @@
 {
   applySuspects(aFeed);
   recordEra(aFeed.era);
+  applyEvacuated(aFeed); // before a preset with which calls are served
   const auto readAt = mTimers.now() - std::chrono::milliseconds(aFeed.ageMs);
   const auto text = aFeed.sections.find(kWholePresetSection);
   if (text != aFeed.sections.end()) {
@@ -130,6 +131,7 @@
   mRestoredAt = mTimers.now();
   mMerger.onRestored(mRestoredAt);
   mGoneInstances.onRestored(mRestoredAt);
+  mCache.evacuations().onRestored(mRestoredAt);
   logEvent(LogEvent::SourceRestored,
            { { "era", *aEra },
              { "version", mCache.presetVersion() },
@@ -151,6 +153,9 @@
   requestFeed(vm, { .mayWait = false }, [this, vm](const Result<QByteArray>& aReply) {
     const auto feed =
       aReply.has_value() ? decodeFeed(aReply.value()) : Result<Feed>(aReply.error());
+    if (feed.has_value()) {
+      applyEvacuated(feed.value());
+    }
     if (feed.has_value() && feed.value().version > mCache.presetVersion()) {
       fetchPreset(vm);
     }
@@ -255,6 +260,7 @@
     return;
   }
   applySuspects(feed.value());
+  applyEvacuated(feed.value());
   if (aGeneration != mGeneration) {
     return; // another peer has been found
   }
--- a/libs/gateway/include/gateway/ConfigSyncReading.h
+++ b/libs/gateway/include/gateway/ConfigSyncReading.h
@@ -116,6 +116,7 @@
     const auto& snapshot = aSnapshot.value();
     const bool isFirst = mCache.isEmpty();
     recordEra(snapshot.era);
+    applyEvacuated(snapshot);
     auto vms = mMerger.mergeFromSource(mTables.membership.current(),
                                        snapshot.vms,
                                        mCache.isEmpty() ? Instant{} : mCache.readAt(),
--- a/libs/gateway/include/gateway/SourceCache.h
+++ b/libs/gateway/include/gateway/SourceCache.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <decide/Evacuations.h>
 #include <decide/MembershipHistory.h>
 #include <feed/FeedProvider.h>
 #include <functional>
@@ -14,11 +15,15 @@
 
 /**
  * The last known contents of the source, which this VM serves to others: the text of the
- * preset, the membership, and the time at which they were read. Main thread.
+ * preset, the membership, the evacuated data centres, and the time at which they were
+ * read. Main thread.
  */
 class SourceCache
 {
 public:
+  /** The age before the first read, and the highest that a feed states. */
+  static constexpr Duration kMaxAge = std::chrono::hours(1);
+
   explicit SourceCache(TimerService& aTimers);
 
   /**
@@ -29,9 +34,9 @@
 
   /**
    * The parts that are newer than `aHave`. If its `mayWait` is false, only the preset
-   * version, the read sequence number and the age. The suspects are included unless the
-   * requester follows this feed already: it may have been restarted, and others have
-   * reported them before.
+   * version, the read sequence number, the age and the evacuated data centres. The
+   * suspects are included unless the requester follows this feed already: it may have
+   * been restarted, and others have reported them before.
    */
   Feed makeFeed(const FeedRequest& aHave) const;
 
@@ -53,6 +58,8 @@
    * come back from an older copy since the last one that was known. */
   bool recordEra(std::optional<std::uint64_t> aEra);
 
+  Evacuations& evacuations() { return mEvacuations; }
+
   std::uint64_t presetVersion() const { return mPresetVersion; }
   const std::string& presetText() const { return mPresetText; }
   Instant readAt() const { return mReadAt; }
@@ -70,6 +77,7 @@
   TimerService& mTimers;
   SuspectSource mSuspectSource;
   MembershipHistory mHistory;
+  Evacuations mEvacuations;
   std::string mPresetText;
   std::uint64_t mPresetVersion = 0;
   std::optional<std::uint64_t> mEra; ///< the highest one known
--- a/libs/gateway/include/gateway/SourceSnapshot.h
+++ b/libs/gateway/include/gateway/SourceSnapshot.h
@@ -14,7 +14,8 @@
   std::string presetText;    ///< the preset in the source's format
   /** Rises each time that the source comes back from an older copy; empty: not known. */
   std::optional<std::uint64_t> era;
-  VmList vms; ///< upstreams and masticwall VMs
+  std::vector<std::string> evacuated; ///< data centres; all that are
+  VmList vms;                         ///< upstreams and masticwall VMs
 };
 
 } // namespace masticwall
--- a/libs/gateway/src/SourceCache.cpp
+++ b/libs/gateway/src/SourceCache.cpp
@@ -7,9 +7,6 @@
 
 namespace {
 
-/** The age before the first read, and the highest that a feed states. */
-constexpr Duration kAgeBeforeFirstRead = std::chrono::hours(1);
-
 /**
  * The first revision is a random multiple of this, so that a peer's revision from before
  * a restart of this VM does not match a current one.
@@ -21,7 +18,7 @@
 SourceCache::SourceCache(TimerService& aTimers)
   : mTimers(aTimers)
   , mHistory((1U + std::uint64_t{ std::random_device()() }) * kRevisionsPerStart)
-  , mReadAt(aTimers.now() - kAgeBeforeFirstRead)
+  , mReadAt(aTimers.now() - kMaxAge)
 {
 }
 
@@ -38,9 +35,11 @@
   Feed feed;
   feed.version = mPresetVersion;
   feed.readSequence = mReadSequence;
-  feed.ageMs =
-    static_cast<std::uint64_t>(toMilliseconds(std::min(age(), kAgeBeforeFirstRead)));
+  feed.ageMs = static_cast<std::uint64_t>(toMilliseconds(std::min(age(), kMaxAge)));
   feed.era = mEra;
+  if (mEvacuations.isKnown()) {
+    feed.evacuated = mEvacuations.list(mTimers.now());
+  }
   feed.revision = aHave.revision; // the membership is not included yet
   if (aHave.revision == 0 && mSuspectSource != nullptr) {
     feed.suspects = mSuspectSource();
@@ -90,7 +89,7 @@
 {
   // Feeds state ages in whole milliseconds, so the same read may appear slightly later.
   constexpr Duration kSameReadTolerance = std::chrono::milliseconds(20);
-  if (mTimers.now() - aTime >= kAgeBeforeFirstRead) {
+  if (mTimers.now() - aTime >= kMaxAge) {
     return; // the age that a process states which never read it
   }
   mReadSequence += aTime > mReadAt + kSameReadTolerance ? 1 : 0;
--- a/libs/gateway/tests/SourceCacheTest.cpp
+++ b/libs/gateway/tests/SourceCacheTest.cpp
@@ -29,3 +29,22 @@
   CHECK(cache.makeFeed({}).suspects.size() == 1);
   CHECK(cache.makeFeed({ .revision = 7 }).suspects.empty());
 }
+
+TEST_CASE("evacuated data centres are told once a list is known, also in short replies")
+{
+  TimerService timers;
+  SourceCache cache(timers);
+  CHECK_FALSE(cache.makeFeed({}).evacuated.has_value());
+  const auto now = timers.now();
+  cache.evacuations().merge({}, now, now);
+  for (const bool mayWait : { false, true }) {
+    const auto evacuated = cache.makeFeed({ .mayWait = mayWait }).evacuated;
+    REQUIRE(evacuated.has_value());
+    CHECK(evacuated->empty());
+  }
+  cache.evacuations().merge({ { "recife" } }, now, now);
+  for (const bool mayWait : { false, true }) {
+    CHECK(cache.makeFeed({ .mayWait = mayWait }).evacuated ==
+          std::vector<Evacuation>{ { "recife" } });
+  }
+}
--- a/libs/messages/include/messages/Feed.h
+++ b/libs/messages/include/messages/Feed.h
@@ -2,6 +2,7 @@
 
 #include <QByteArray>
 #include <core/Result.h>
+#include <decide/Evacuation.h>
 #include <decide/MembershipDelta.h>
 #include <map>
 #include <messages/FeedRequest.h>
@@ -29,6 +30,10 @@
   std::vector<VmKey> removed;   ///< VMs that are no longer listed
   std::vector<SuspectCount> suspects; ///< new ones, or all that a VM which starts needs
 
+  /** The evacuated data centres; std::nullopt: the sender knows of no list, or is of an
+   * earlier release. */
+  std::optional<std::vector<Evacuation>> evacuated;
+
   /** The highest era of the source that the sender knows of; see SourceSnapshot::era. */
   std::optional<std::uint64_t> era;
 
--- a/libs/messages/src/Feed.cpp
+++ b/libs/messages/src/Feed.cpp
@@ -1,5 +1,6 @@
 #include "CborReader.h"
 #include "CborWriter.h"
+#include "EvacuationFields.h"
 #include "SuspectFields.h"
 #include <QtEndian>
 #include <core/Bytes.h>
@@ -154,6 +155,9 @@
   writer.put(Field::Removed, toArray(aFeed.removed));
   writer.number(Field::AgeMs, aFeed.ageMs);
   writer.number(Field::ReadSequence, aFeed.readSequence);
+  if (aFeed.evacuated.has_value()) {
+    writer.put(Field::Evacuated, toArray(*aFeed.evacuated));
+  }
   if (aFeed.era.has_value()) {
     writer.number(Field::Era, *aFeed.era);
   }
@@ -182,6 +186,10 @@
   if (const auto era = reader.value(Field::Era); era.isInteger()) {
     feed.era = static_cast<std::uint64_t>(era.toInteger());
   }
+  if (const auto evacuated = reader.value(Field::Evacuated); !evacuated.isUndefined()) {
+    BOOST_OUTCOME_TRY(list, toEvacuations(evacuated.toArray()));
+    feed.evacuated = std::move(list);
+  }
   for (const auto& it : reader.array(Field::Removed)) {
     BOOST_OUTCOME_TRY(key, toVmKey(it));
     feed.removed.push_back(std::move(key));
--- a/libs/messages/src/Field.h
+++ b/libs/messages/src/Field.h
@@ -66,9 +66,10 @@
   NextInMs = 56,
   Era = 57,
   IsLastResort = 58,
-  Evacuated = 59, ///< names of data centres
+  Evacuated = 59, ///< maps of DataCentre and, if not 0, KeptForMs
   Tenant = 60,
   Returned = 61, ///< permits that were not used
+  KeptForMs = 70,
 };
 
 } // namespace masticwall
--- a/libs/messages/tests/MessagesTest.cpp
+++ b/libs/messages/tests/MessagesTest.cpp
@@ -63,6 +63,25 @@
   CHECK(decoded.value().suspects.at(0).cleared == 1);
 }
 
+TEST_CASE("a feed tells evacuated data centres, none, or nothing of them")
+{
+  Feed feed;
+  const auto decodedOf = [](const Feed& aFeed) {
+    const auto decoded = decodeFeed(encode(aFeed));
+    REQUIRE(decoded.has_value());
+    return decoded.value().evacuated;
+  };
+  CHECK_FALSE(decodedOf(feed).has_value()); // as from an earlier release
+  feed.evacuated.emplace();
+  REQUIRE(decodedOf(feed).has_value());
+  CHECK(decodedOf(feed)->empty());
+  feed.evacuated = std::vector<Evacuation>{ { "recife" },
+                                            { "natal", 1500ms },
+                                            { "petrolina", Duration(1) } };
+  CHECK(decodedOf(feed) == std::vector<Evacuation>{
+                             { "recife" }, { "natal", 1500ms }, { "petrolina", 1ms } });
+}
+
 TEST_CASE("a large feed is compressed and decodes to what was encoded")
 {
   Feed feed;
--- a/libs/tables/include/tables/MembershipTable.h
+++ b/libs/tables/include/tables/MembershipTable.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <core/OrderedMutex.h>
+#include <decide/DataCentreNames.h>
 #include <decide/Vm.h>
 #include <map>
 #include <optional>
@@ -8,9 +9,9 @@
 namespace masticwall {
 
 /**
- * The platform's VM list and the instances that have announced their shutdown. Such an
- * instance counts as leaving even if the list does not mark it so. Thread-safe; lock
- * level Membership.
+ * The platform's VM list, the instances that have announced their shutdown, and the
+ * evacuated data centres. An instance that shuts down counts as leaving even if the list
+ * does not mark it so. Thread-safe; lock level Membership.
  */
 class MembershipTable
 {
@@ -24,6 +25,11 @@
   /** The list, with `leaving` also set for the instances that were marked. */
   VmList current() const;
 
+  /** Replaces the evacuated data centres; true if they differ from the previous ones. No
+   * change of the list. */
+  bool putEvacuated(const DataCentreNames& aDataCentres);
+  DataCentreNames evacuated() const;
+
   /**
    * The list's entry of the masticwall VM `aName`; std::nullopt if it is not listed.
    * Unlike in current(), the marks of markLeaving() are not applied.
@@ -37,6 +43,7 @@
   mutable OrderedMutex mMutex{ LockLevel::Membership };
   VmList mList;
   std::map<std::string, std::string> mLeavingInstances; ///< by VM name
+  DataCentreNames mEvacuated;
   std::uint64_t mRevision = 0;
 };
 
--- a/libs/tables/include/tables/UpstreamTable.h
+++ b/libs/tables/include/tables/UpstreamTable.h
@@ -22,9 +22,11 @@
   /** `aLocality` is where this process runs; `aSeed` seeds the random choices. */
   UpstreamTable(Locality aLocality, std::uint64_t aSeed);
 
-  /** Applies the list of upstreams and the limits of `aPreset`. */
+  /** Applies the list of upstreams, the evacuated data centres and the limits of
+   * `aPreset`. */
   void update(const Preset& aPreset,
               const std::vector<UpstreamAddress>& aAddresses,
+              const DataCentreNames& aEvacuated,
               Instant aNow);
 
   /**
@@ -84,8 +86,8 @@
                   Rank aRank,
                   Instant aNow);
 
-  /** Whether the upstream's instance is listed, does not leave, is not held off, and has
-   * no request limit or the request has a permit. */
+  /** Whether the upstream's instance is listed, does not leave, is neither evacuated nor
+   * held off, and has no request limit or the request has a permit. */
   bool acceptsRequest(const UpstreamAddress& aUpstream,
                       bool aHasPermit,
                       Instant aNow) const;
@@ -100,7 +102,8 @@
   /** See UpstreamPool::typicalProcessingTime(); zero for an unknown service. */
   Duration typicalProcessingTime(const std::string& aService) const;
 
-  /** The total slots of a service in a region, excluding leaving upstreams. */
+  /** The total slots of a service in a region (empty: in all), excluding leaving and
+   * evacuated upstreams. */
   int slotsIn(const std::string& aService, const std::string& aRegion) const;
 
   /** The state of all upstreams, in no particular order. */
--- a/libs/tables/src/MembershipTable.cpp
+++ b/libs/tables/src/MembershipTable.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <tables/MembershipTable.h>
+#include <utility>
 
 namespace masticwall {
 
@@ -41,6 +42,20 @@
   return list;
 }
 
+bool
+MembershipTable::putEvacuated(const DataCentreNames& aDataCentres)
+{
+  std::scoped_lock lock(mMutex);
+  return std::exchange(mEvacuated, aDataCentres) != aDataCentres;
+}
+
+DataCentreNames
+MembershipTable::evacuated() const
+{
+  std::scoped_lock lock(mMutex);
+  return mEvacuated;
+}
+
 std::optional<Vm>
 MembershipTable::findMasticwallVm(const std::string& aName) const
 {
--- a/libs/tables/src/UpstreamTable.cpp
+++ b/libs/tables/src/UpstreamTable.cpp
@@ -12,6 +12,7 @@
 void
 UpstreamTable::update(const Preset& aPreset,
                       const std::vector<UpstreamAddress>& aAddresses,
+                      const DataCentreNames& aEvacuated,
                       Instant aNow)
 {
   std::scoped_lock lock(mMutex);
@@ -23,7 +24,11 @@
   for (const auto& it : aAddresses) {
     byService[it.service].push_back(it);
   }
+  for (auto& [service, pool] : mPools) {
+    pool.setEvacuated(aEvacuated, aNow);
+  }
   for (const auto& service : aPreset.services) {
+    mPools[service.name].setEvacuated(aEvacuated, aNow);
     mPools[service.name].update(byService[service.name], service.slots, aNow);
   }
 }
--- a/libs/telemetry/include/telemetry/Gauge.h
+++ b/libs/telemetry/include/telemetry/Gauge.h
@@ -7,9 +7,10 @@
 /** The gauges of a process, updated when its metrics are scraped. */
 enum class Gauge
 {
-  PresetVersion,     ///< version of the preset in force; 0 before the first
-  SourceAge,         ///< seconds since this VM or a peer read the source; gateways only
-  Upstreams,         ///< upstreams in the VM list
+  PresetVersion, ///< version of the preset in force; 0 before the first
+  SourceAge,     ///< seconds since this VM or a peer read the source; gateways only
+  Upstreams,     ///< upstreams in the VM list
+  EvacuatedDataCentres, ///< data centres that the operator has evacuated
   EntryProcesses,    ///< entry processes in the VM list that are not leaving; at least 1
   CallsInProgress,   ///< calls in progress
   CallerConnections, ///< open connections from callers
@@ -21,10 +22,11 @@
 template<>
 struct EnumTable<Gauge>
 {
-  static constexpr std::array<EnumName<Gauge>, 8> kEntries{ {
+  static constexpr std::array<EnumName<Gauge>, 9> kEntries{ {
     { Gauge::PresetVersion, "masticwall_preset_version" },
     { Gauge::SourceAge, "masticwall_source_age_seconds" },
     { Gauge::Upstreams, "masticwall_upstreams" },
+    { Gauge::EvacuatedDataCentres, "masticwall_evacuated_data_centres" },
     { Gauge::EntryProcesses, "masticwall_entries" },
     { Gauge::CallsInProgress, "masticwall_calls_in_progress" },
     { Gauge::CallerConnections, "masticwall_caller_connections" },
--- a/libs/telemetry/include/telemetry/LogEvent.h
+++ b/libs/telemetry/include/telemetry/LogEvent.h
@@ -52,6 +52,9 @@
   SourceReachable,   ///< the source can be read again
   SourceChanged,   ///< the VM list from the source or a peer's feed has changed (gateway)
   SourceRestored,  ///< the source came back from an older copy
+  EvacuationBegun, ///< a data centre is evacuated: its upstreams get nothing new
+  EvacuationKept, ///< ... though the source, which came back from an older copy, lacks it
+  EvacuationEnded, ///< its upstreams are used again
   StoreEraBad,     ///< the source's era is no number; it is ignored
   SourceTakenOver, ///< this VM starts reading the source instead of a peer's feed
   FeedLost,        ///< a request to a peer for its feed failed
@@ -66,7 +69,7 @@
 template<>
 struct EnumTable<LogEvent>
 {
-  static constexpr std::array<EnumName<LogEvent>, 53> kEntries{ {
+  static constexpr std::array<EnumName<LogEvent>, 56> kEntries{ {
     { LogEvent::Started, "started" },
     { LogEvent::Stopped, "stopped" },
     { LogEvent::StopRequested, "stop-requested" },
@@ -111,6 +114,9 @@
     { LogEvent::SourceReachable, "source-reachable" },
     { LogEvent::SourceChanged, "source-changed" },
     { LogEvent::SourceRestored, "source-restored" },
+    { LogEvent::EvacuationBegun, "evacuation-begun" },
+    { LogEvent::EvacuationKept, "evacuation-kept" },
+    { LogEvent::EvacuationEnded, "evacuation-ended" },
     { LogEvent::StoreEraBad, "store-era-bad" },
     { LogEvent::SourceTakenOver, "source-taken-over" },
     { LogEvent::FeedLost, "feed-lost" },
