--- a/libs/tables/src/UpstreamTable.cpp
+++ b/libs/tables/src/UpstreamTable.cpp
@@ -12,6 +12,7 @@
 void
 UpstreamTable::update(const Preset& aPreset,
                       const std::vector<UpstreamAddress>& aAddresses,
+                      const DataCentreNames& aEvacuated,
                       Instant aNow)
 {
   std::scoped_lock lock(mMutex);
@@ -23,7 +24,11 @@
   for (const auto& it : aAddresses) {
     byService[it.service].push_back(it);
   }
+  for (auto& [service, pool] : mPools) {
+    pool.setEvacuated(aEvacuated, aNow);
+  }
   for (const auto& service : aPreset.services) {
+    mPools[service.name].setEvacuated(aEvacuated, aNow);
     mPools[service.name].update(byService[service.name], service.slots, aNow);
   }
 }
@@ -52,6 +57,9 @@
                               Instant aNow)
 {
   for (const auto& region : aPool.regions(mLocality.region)) {
+    if (!aQuery.allowedRegions.allows(region)) {
+      continue; // takes nothing from the link's budget
+    }
     const bool isLocal = region == mLocality.region;
     if (!isLocal && !reserveLinkBytes(aQuery, aNow)) {
       continue;
@@ -157,12 +165,15 @@
 }
 
 ServiceAvailability
-UpstreamTable::availability(const std::string& aService, Rank aRank, Instant aNow) const
+UpstreamTable::availability(const std::string& aService,
+                            Rank aRank,
+                            const AllowedRegions& aAllowedRegions,
+                            Instant aNow) const
 {
   std::scoped_lock lock(mMutex);
   const auto it = mPools.find(aService);
   return it == mPools.end() ? ServiceAvailability{}
-                            : it->second.availability(aRank, aNow);
+                            : it->second.availability(aRank, aNow, aAllowedRegions);
 }
 
 Duration
