Keep tenants' quotas over all VMs by permits from one VM for each tenant

Cause: configurations hold quotas of tenants; no VM knew what a tenant sends to the others. Change: QuotaIssuer issues permits from a bucket of rate and burst, QuotaStock holds those of one VM and asks ahead by its own recent rate, QuotaRouter names the VM that is asked and its substitutes, QuotaTerms divides what the operator tolerates between permits that are used late, new issuers and VMs that reach none. 429 with Retry-After for what lies beyond. Without tenants with a rate: no state and no message.

--- /dev/null
+++ b/libs/decide/src/QuotaRouter.cpp
@@ -0,0 +1,75 @@
+#include <algorithm>
+#include <decide/QuotaRouter.h>
+
+namespace masticwall {
+
+namespace {
+
+/** An issuer that has not replied is not asked for this long, doubling up to the highest.
+ * Substitutes ask again sooner, as two VMs issue permits meanwhile. */
+constexpr Duration kSkipTime = std::chrono::seconds(1);
+constexpr Duration kMaxSkipTime = std::chrono::seconds(8);
+constexpr Duration kRelaySkipTime = std::chrono::milliseconds(300);
+
+} // namespace
+
+void
+QuotaRouter::setMembers(const VmList& aMembers)
+{
+  mIssuers = QuotaIssuers(aMembers);
+  mIssuersOfTenants.clear();
+  std::erase_if(mSkips, [&](const auto& aSkip) {
+    return std::none_of(aMembers.begin(), aMembers.end(), [&](const Vm& aVm) {
+      return aVm.name == aSkip.first.issuer;
+    });
+  });
+}
+
+QuotaRoute
+QuotaRouter::routeFor(const std::string& aTenant, bool aIsRelayed, Instant aNow)
+{
+  const auto& issuers = issuersOf(aTenant);
+  const auto own = std::find(issuers.begin(), issuers.end(), mOwnVm);
+  const bool isIssuer = aIsRelayed || issuers.empty() || own != issuers.end();
+  for (auto it = issuers.begin(); it != own; ++it) {
+    QuotaRoute route{ QuotaSource::Issuer, *it, isIssuer };
+    if (!isSkipped(route, aNow)) {
+      return route;
+    }
+  }
+  return { isIssuer ? QuotaSource::Own : QuotaSource::Alone };
+}
+
+void
+QuotaRouter::recordLost(const QuotaRoute& aRoute, Instant aNow)
+{
+  auto& skip = mSkips[aRoute];
+  if (aNow < skip.until) {
+    return;
+  }
+  skip.time = aRoute.isRelayed
+                ? kRelaySkipTime
+                : std::clamp<Duration>(2 * skip.time, kSkipTime, kMaxSkipTime);
+  skip.until = aNow + skip.time;
+}
+
+bool
+QuotaRouter::isSkipped(const QuotaRoute& aRoute, Instant aNow) const
+{
+  const auto it = mSkips.find(aRoute);
+  return it != mSkips.end() && aNow < it->second.until;
+}
+
+const std::vector<std::string>&
+QuotaRouter::issuersOf(const std::string& aTenant)
+{
+  const auto [it, isNew] = mIssuersOfTenants.try_emplace(aTenant);
+  if (isNew) {
+    for (auto& issuer : mIssuers.issuersOf(aTenant)) {
+      it->second.push_back(std::move(issuer.name));
+    }
+  }
+  return it->second;
+}
+
+} // namespace masticwall
--- a/libs/entry/include/entry/ControlPlane.h
+++ b/libs/entry/include/entry/ControlPlane.h
@@ -6,6 +6,7 @@
 #include <decide/ClaimVerdict.h>
 #include <decide/PermitGrant.h>
 #include <decide/PermitRequest.h>
+#include <decide/QuotaDecisions.h>
 #include <decide/UpstreamAddress.h>
 #include <functional>
 #include <messages/Feed.h>
@@ -50,6 +51,12 @@
   std::function<void(const UpstreamAddress&, const PermitRequest&, PermitCallback)>
     requestPermits;
 
+  using QuotaCallback = std::function<void(const QuotaDecisions&)>;
+
+  /** Requests what the calls of a tenant with a quota need; calls back when some of them
+   * need not wait any more. */
+  std::function<void(const std::string& aTenant, QuotaCallback)> requestQuota;
+
   /** Whether presets and membership are kept up to date: the control process that feeds
    * them can be reached, or the source has been read recently. */
   std::function<bool()> isConnected;
--- a/libs/entry/include/entry/EntryTables.h
+++ b/libs/entry/include/entry/EntryTables.h
@@ -12,6 +12,7 @@
 #include <tables/MembershipTable.h>
 #include <tables/OrderTable.h>
 #include <tables/PresetTable.h>
+#include <tables/QuotaTable.h>
 #include <tables/SuspectTable.h>
 #include <tables/UpstreamTable.h>
 #include <telemetry/CallStatistics.h>
@@ -54,6 +55,7 @@
   UpstreamTable upstreams;
   OrderTable<http::Response> orders{ kMaxRecordedResponseBytes };
   SuspectTable suspects;
+  QuotaTable quotas;
   CallStatistics statistics;
   Metrics metrics;
   std::vector<WorkerGauges> gauges; ///< by worker index
--- a/libs/entry/src/Call.h
+++ b/libs/entry/src/Call.h
@@ -6,6 +6,7 @@
 #include <core/Digest.h>
 #include <decide/AdmissionRequest.h>
 #include <decide/Preset.h>
+#include <decide/QuotaTerms.h>
 #include <decide/UpstreamAddress.h>
 #include <entry/CallMetadata.h>
 #include <http/Request.h>
@@ -48,6 +49,13 @@
   Digest fingerprint;
   bool isTrial = false; ///< of a suspect that is blocked; see SuspectList
 
+  /** The quota of `tenant`; empty: it has none. */
+  std::optional<QuotaTerms> quota;
+  bool awaitsQuota = false;    ///< waits for a permit
+  bool hasQuotaPermit = false; ///< until quotaExpiresAt, unless it is sent by then
+  Instant quotaExpiresAt;
+  Duration quotaRetryAfter{ 0 }; ///< set if the quota is used up
+
   std::size_t pendingLoadQueries = 0; ///< unanswered load queries, in stage QueryingLoads
   int loadQueryRounds = 0;
   TimerHandle loadQueryTimer;
--- a/libs/entry/src/EntryWorker.cpp
+++ b/libs/entry/src/EntryWorker.cpp
@@ -181,6 +181,9 @@
 EntryWorker::retryAfterFor(const Call& aCall)
 {
   const auto now = mTimers.now();
+  if (aCall.quotaRetryAfter > Duration{ 0 }) {
+    return aCall.quotaRetryAfter;
+  }
   if (aCall.heldOffFor > Duration{ 0 }) {
     return RetryAfterRange::afterHoldOff(
              aCall.deadline - now, aCall.heldOffFor, aCall.route->rank)
--- a/libs/entry/src/EntryWorker.h
+++ b/libs/entry/src/EntryWorker.h
@@ -48,6 +48,9 @@
   /** The reply to a request for permits, for calls of `aRank`; they are in the table. */
   void onPermits(const UpstreamAddress& aUpstream, const PermitGrant& aGrant, Rank aRank);
 
+  /** The reply to a request for permits of a tenant's quota, for a call that waited. */
+  void onQuotaDecided(std::uint64_t aCall, const std::string& aTenant, bool aIsGranted);
+
   /** The active preset or the VM list has changed. */
   void onPresetChanged();
 
@@ -86,6 +89,23 @@
   void requestAdmission(Call& aCall);
   void requestClaim(Call& aCall);
 
+  // Quotas of tenants
+  /** Takes a permit for the call if its tenant has a quota, and then goes on with its
+   * admission; or waits for a permit, or ends the call. */
+  void startQuota(Call& aCall);
+
+  /** Whether the call may be sent, as far as its quota is concerned. Otherwise waits for
+   * a permit again, as the call's own has expired while it waited. */
+  bool hasValidQuota(Call& aCall);
+
+  /** True if the call has a permit; otherwise waits for one, or ends the call. */
+  bool drawQuota(Call& aCall);
+  void requestQuota(const std::string& aTenant);
+  void endAsOverQuota(Call& aCall);
+
+  /** The call has ended, or runs elsewhere: gives back its permit if it was not run. */
+  void returnQuota(Call& aCall);
+
   // Load queries
   /** Queries the load of the upstreams that the call may be sent to, and requests a
    * permit where it needs one; sends it if there is nothing to wait for. */
--- a/libs/entry/src/EntryWorkerArrival.cpp
+++ b/libs/entry/src/EntryWorkerArrival.cpp
@@ -116,7 +116,7 @@
   if (aCall.isClaimedOrder() && !registerOrder(aCall)) {
     return;
   }
-  requestAdmission(aCall);
+  startQuota(aCall);
 }
 
 bool
--- a/libs/entry/src/EntryWorkerEnding.cpp
+++ b/libs/entry/src/EntryWorkerEnding.cpp
@@ -265,6 +265,7 @@
 void
 EntryWorker::releaseAdmission(Call& aCall)
 {
+  returnQuota(aCall);
   const auto& service = aCall.service;
   if (aCall.hasSlot) {
     aCall.hasSlot = false;
--- a/libs/entry/src/EntryWorkerSending.cpp
+++ b/libs/entry/src/EntryWorkerSending.cpp
@@ -27,7 +27,8 @@
 void
 EntryWorker::sendIfReady(Call& aCall)
 {
-  if (aCall.hasSlot && aCall.isClaimGranted && aCall.stage == CallStage::Waiting) {
+  if (aCall.hasSlot && aCall.isClaimGranted && aCall.stage == CallStage::Waiting &&
+      hasValidQuota(aCall)) {
     queryLoads(aCall);
   }
 }
--- a/libs/entry/src/StateDump.cpp
+++ b/libs/entry/src/StateDump.cpp
@@ -55,6 +55,22 @@
   return list;
 }
 
+/** The tenants with the most refusals. */
+QJsonArray
+dumpQuotas(const EntryTables& aTables)
+{
+  constexpr std::size_t kMaxTenants = 100;
+  QJsonArray list;
+  for (const auto& it : aTables.quotas.snapshot(kMaxTenants)) {
+    list.append(
+      QJsonObject{ { QStringLiteral("tenant"), toQString(it.tenant) },
+                   { QStringLiteral("permits"), it.permits },
+                   { QStringLiteral("waiting"), static_cast<qint64>(it.waiting) },
+                   { QStringLiteral("refused"), static_cast<qint64>(it.refusals) } });
+  }
+  return list;
+}
+
 QJsonArray
 dumpWorkers(const EntryTables& aTables)
 {
@@ -88,6 +104,7 @@
     { QStringLiteral("orders"), static_cast<qint64>(aTables.orders.size()) },
     { QStringLiteral("upstreams"), dumpUpstreams(aTables) },
     { QStringLiteral("admission"), dumpAdmission(aTables) },
+    { QStringLiteral("quotas"), dumpQuotas(aTables) },
     { QStringLiteral("calls"), aTables.statistics.toJson() },
   };
 }
--- a/libs/gateway/include/gateway/GatewayDaemon.h
+++ b/libs/gateway/include/gateway/GatewayDaemon.h
@@ -6,6 +6,7 @@
 #include <gateway/ConfigSync.h>
 #include <gateway/PermitService.h>
 #include <gateway/Platform.h>
+#include <gateway/QuotaService.h>
 
 namespace masticwall {
 
@@ -71,6 +72,7 @@
   std::unique_ptr<EntryProcess> mProcess;
   std::unique_ptr<PeerMessenger> mPeerMessenger;
   std::unique_ptr<PermitService> mPermitService;
+  std::unique_ptr<QuotaService> mQuotaService;
   std::unique_ptr<ConfigSync<typename P::ConfigSource>> mConfigSync;
   std::unique_ptr<PeerServer> mServer;
   std::filesystem::file_time_type mSettingsChangedAt; ///< modification time of the file
@@ -91,9 +93,17 @@
     mTimers, tables.membership, mSettings.entry.common.vm);
   mPermitService = std::make_unique<PermitService>(
     mTimers, mSettings.entry.common.vm, [this] { return mConfigSync->lastContactAt(); });
+  mQuotaService =
+    std::make_unique<QuotaService>(mTimers,
+                                   tables.quotas,
+                                   tables.presets,
+                                   tables.metrics,
+                                   mSettings.entry.common.vm,
+                                   [this] { return mConfigSync->lastContactAt(); });
   mConfigSync = std::make_unique<ConfigSync<typename P::ConfigSource>>(
     mTimers, tables, mSource, ownVm(), [this, &tables] {
       mPermitService->setMembers(tables.membership.current());
+      mQuotaService->setMembers(tables.membership.current());
       mProcess->onTablesChanged();
     });
   mProcess->setControlPlane(makeControlPlane());
@@ -151,6 +161,10 @@
                                        const ControlPlane::PermitCallback& aDone) {
     mPermitService->request(aUpstream, aRequest, aDone);
   };
+  controlPlane.requestQuota = [this](const std::string& aTenant,
+                                     const ControlPlane::QuotaCallback& aDone) {
+    mQuotaService->request(aTenant, aDone);
+  };
   // The source counts as reachable while the data is fresh, whichever VM reads it.
   controlPlane.isConnected = [this] { return mConfigSync->isFresh(); };
   controlPlane.sourceAge = [this] { return mConfigSync->age(); };
@@ -178,6 +192,10 @@
     mPermitService->serve(aBody, aReply);
     return;
   }
+  if (aPath == paths::kQuotas) {
+    mQuotaService->serve(aBody, aReply);
+    return;
+  }
   logEvent(LogEvent::MessageBad, { { "path", aPath } });
   aReply(std::nullopt);
 }
--- a/libs/messages/include/messages/Paths.h
+++ b/libs/messages/include/messages/Paths.h
@@ -22,6 +22,7 @@
 
 // Served by a gateway process to those of other VMs.
 inline constexpr const char* kPermits = "/permits"; ///< PermitRequest to PermitGrant
+inline constexpr const char* kQuotas = "/quotas";   ///< QuotaRequests to QuotaGrants
 
 // Served by an entry process to those of other VMs.
 inline constexpr const char* kOrder = "/order"; ///< ClaimId to OrderReport; long poll
--- a/libs/messages/src/Field.h
+++ b/libs/messages/src/Field.h
@@ -69,6 +69,11 @@
   Evacuated = 59, ///< names of data centres
   Tenant = 60,
   Returned = 61, ///< permits that were not used
+  Tenants = 70,
+  Ahead = 71, ///< permits for calls that are expected
+  IsRelayed = 72,
+  IsKnown = 73,
+  RetryAfterMs = 74,
 };
 
 } // namespace masticwall
--- a/libs/messages/tests/MessagesTest.cpp
+++ b/libs/messages/tests/MessagesTest.cpp
@@ -9,6 +9,8 @@
 #include <messages/OrderReport.h>
 #include <messages/PermitGrantMessage.h>
 #include <messages/PermitRequestMessage.h>
+#include <messages/QuotaGrantsMessage.h>
+#include <messages/QuotaRequestsMessage.h>
 #include <messages/VmListMessage.h>
 
 using namespace masticwall;
@@ -45,6 +47,40 @@
   CHECK(decodePermitGrant("odd").has_error());
 }
 
+TEST_CASE("requests for permits of quotas and their grants decode to what was encoded")
+{
+  const QuotaRequests sent{ true, { { "t-1", 3, 20, 2 }, { "t-2", 1, 0, 0 } } };
+  const auto requests = decodeQuotaRequests(encode(sent));
+  REQUIRE(requests.has_value());
+  CHECK(requests.value().isRelayed);
+  REQUIRE(requests.value().requests.size() == 2);
+  CHECK(requests.value().requests[0].tenant == "t-1");
+  CHECK(requests.value().requests[0].needed == 3);
+  CHECK(requests.value().requests[0].ahead == 20);
+  CHECK(requests.value().requests[0].returned == 2);
+  CHECK(requests.value().requests[1].tenant == "t-2");
+  const auto grants = decodeQuotaGrants(
+    encode(std::vector<QuotaGrant>{ { "t-1", true, 2, 40ms, 800ms }, { "t-2", false } }));
+  REQUIRE(grants.has_value());
+  REQUIRE(grants.value().size() == 2);
+  CHECK(grants.value()[0].permits == 2);
+  CHECK(grants.value()[0].nextIn == 40ms);
+  CHECK(grants.value()[0].retryAfter == 800ms);
+  CHECK_FALSE(grants.value()[1].isKnown);
+  CHECK(decodeQuotaRequests("odd").has_error());
+  CHECK(decodeQuotaGrants("odd").has_error());
+}
+
+TEST_CASE("permits of quotas that are negative or too many are brought into range")
+{
+  const auto requests =
+    decodeQuotaRequests(encode(QuotaRequests{ false, { { "t-1", -1, 1 << 30, 0 } } }));
+  REQUIRE(requests.has_value());
+  CHECK(requests.value().requests[0].needed <= 100'000);
+  CHECK(requests.value().requests[0].needed >= 0);
+  CHECK(requests.value().requests[0].ahead == 100'000);
+}
+
 TEST_CASE("a feed with a preset, VMs and suspects decodes to what was encoded")
 {
   Feed feed;
--- a/libs/telemetry/include/telemetry/Counter.h
+++ b/libs/telemetry/include/telemetry/Counter.h
@@ -17,19 +17,25 @@
    * for a time), "limited" or "unlimited" (a request limit begins or ends),
    * "bad-retry-after" or "bad-server-limit". */
   UpstreamSignals,
-  LoadQueries,     ///< "answered" or "failed" queries; "over-budget": none sent
+  LoadQueries, ///< "answered" or "failed" queries; "over-budget": none sent
+  Quotas,      ///< calls of tenants with a quota: how QuotaVerdict decided first
+  /** Messages for permits of quotas, each for several tenants: "sent", "served", "lost";
+   * "alone": no issuer replies. */
+  QuotaMessages,
   LimitedRequests, ///< to upstreams with a request limit: "call"; "no-permit": none sent
 };
 
 template<>
 struct EnumTable<Counter>
 {
-  static constexpr std::array<EnumName<Counter>, 6> kEntries{ {
+  static constexpr std::array<EnumName<Counter>, 8> kEntries{ {
     { Counter::SourceReads, "masticwall_source_readings_total" },
     { Counter::FeedRequests, "masticwall_feeds_total" },
     { Counter::Retries, "masticwall_retries_total" },
     { Counter::UpstreamSignals, "masticwall_upstream_signals_total" },
     { Counter::LoadQueries, "masticwall_load_queries_total" },
+    { Counter::Quotas, "masticwall_quota_calls_total" },
+    { Counter::QuotaMessages, "masticwall_quota_messages_total" },
     { Counter::LimitedRequests, "masticwall_limited_requests_total" },
   } };
 };
--- a/libs/telemetry/include/telemetry/LogEvent.h
+++ b/libs/telemetry/include/telemetry/LogEvent.h
@@ -36,7 +36,10 @@
   UpstreamHeldOff,   ///< an upstream wants no requests for a time
   RetryAfterBad,     ///< an upstream's Retry-After is no time; it is ignored
   UpstreamLimit,     ///< an upstream's request limit began, changed or ended
-  IssuerLost,        ///< a VM that issues permits for such an upstream has not replied
+  IssuerLost,        ///< a VM that issues permits, for such an upstream or of a tenant,
+                     ///< has not replied
+  OverQuota,         ///< the first call in a while that is beyond a tenant's quota
+  QuotaBad,          ///< a tenant's rate or burst makes no sense; it counts as absent
   ServerLimitBad,    ///< an upstream's request limit is no number; it is ignored
   SuspectStopped,    ///< not retried: the request is blocked, as it crashed upstreams
   SuspectTried,   ///< sent once although it is blocked, to see whether it still crashes
@@ -66,7 +69,7 @@
 template<>
 struct EnumTable<LogEvent>
 {
-  static constexpr std::array<EnumName<LogEvent>, 53> kEntries{ {
+  static constexpr std::array<EnumName<LogEvent>, 55> kEntries{ {
     { LogEvent::Started, "started" },
     { LogEvent::Stopped, "stopped" },
     { LogEvent::StopRequested, "stop-requested" },
@@ -96,6 +99,8 @@
     { LogEvent::RetryAfterBad, "retry-after-bad" },
     { LogEvent::UpstreamLimit, "upstream-limit" },
     { LogEvent::IssuerLost, "issuer-lost" },
+    { LogEvent::OverQuota, "over-quota" },
+    { LogEvent::QuotaBad, "quota-bad" },
     { LogEvent::ServerLimitBad, "server-limit-bad" },
     { LogEvent::SuspectStopped, "suspect-stopped" },
     { LogEvent::SuspectTried, "suspect-tried" },
