Share a service's room between tenants by their weights

Cause: calls of one rank took turns by caller, so that a tenant with many callers or connections had many turns. Change: FairQueue is start-time fair queueing between tenants, by what their quota and the slack allow, with turns between the callers of a tenant (CallerTurns, the former FairQueue). When there is no room, the tenant's call that would start last gives way. Without tenants the turns and displaced calls are as before.

--- a/libs/decide/include/decide/AdmissionQueue.h
+++ b/libs/decide/include/decide/AdmissionQueue.h
@@ -44,7 +44,7 @@
 
   /**
    * Removes a waiting call, e.g. when its caller disconnects; false if it is not waiting.
-   * Finds it by the request's call id, caller and rank.
+   * Finds it by the request's call id, caller, tenant and rank.
    */
   bool cancel(const AdmissionRequest& aRequest);
 
--- a/libs/decide/src/AdmissionQueue.cpp
+++ b/libs/decide/src/AdmissionQueue.cpp
@@ -27,12 +27,6 @@
 /** Start intervals older than this are not used to predict waits. */
 constexpr Duration kIntervalMaxAge = std::chrono::seconds(1);
 
-/**
- * A new call displaces one of another caller only if that one has more than this many
- * times the waiting calls of the new call's caller, counting the new call.
- */
-constexpr std::size_t kDisplacementRatio = 2;
-
 } // namespace
 
 void
@@ -59,13 +53,12 @@
     queue.push(aRequest);
     return { AdmissionVerdict::Wait, std::nullopt };
   }
-  // Fairness between callers: one with far fewer waiting calls displaces the newest call
+  // Fairness: a tenant or caller with far fewer waiting calls displaces the newest call
   // of the one with the most.
-  if (queue.maxCallerSize() <=
-      kDisplacementRatio * (queue.callerSize(aRequest.caller) + 1)) {
+  const auto displaced = queue.displaceFor(aRequest);
+  if (!displaced.has_value()) {
     return { AdmissionVerdict::Refuse, std::nullopt };
   }
-  const auto displaced = queue.popNewestOfLargestCaller();
   queue.push(aRequest);
   return { AdmissionVerdict::Wait, displaced };
 }
@@ -110,7 +103,7 @@
 bool
 AdmissionQueue::cancel(const AdmissionRequest& aRequest)
 {
-  return mWaiting[indexOf(aRequest.rank)].remove(aRequest.call, aRequest.caller);
+  return mWaiting[indexOf(aRequest.rank)].remove(aRequest);
 }
 
 bool
--- a/libs/decide/src/FairQueue.cpp
+++ b/libs/decide/src/FairQueue.cpp
@@ -3,93 +3,153 @@
 
 namespace masticwall {
 
-std::size_t
-FairQueue::callerSize(std::uint64_t aCaller) const
+namespace {
+
+/**
+ * A new call displaces one of another tenant or caller only if that one has more than
+ * this many times the waiting calls of the new call's, counting the new call.
+ */
+constexpr std::size_t kDisplacementRatio = 2;
+
+} // namespace
+
+std::uint64_t
+FairQueue::keyOf(const AdmissionRequest& aRequest)
+{
+  return aRequest.tenant != 0 ? aRequest.tenant : aRequest.caller;
+}
+
+FairQueue::Turn
+FairQueue::turnOf(const Groups::value_type& aGroup)
 {
-  const auto it = mByCaller.find(aCaller);
-  return it == mByCaller.end() ? 0 : it->second.size();
+  return { aGroup.second.startTag, aGroup.second.sequence, aGroup.first };
+}
+
+double
+FairQueue::firstTagOf(const AdmissionRequest& aRequest) const
+{
+  if (aRequest.tenant == 0) {
+    return mVirtualTime + 1.0; // behind those that have had a turn in this round
+  }
+  const auto last = mLastTags.find(aRequest.tenant);
+  return last == mLastTags.end() ? mVirtualTime : std::max(mVirtualTime, last->second);
 }
 
 void
 FairQueue::push(const AdmissionRequest& aRequest)
 {
-  auto& queue = mByCaller[aRequest.caller];
-  if (queue.empty()) {
-    mRoundRobin.push_back(aRequest.caller);
+  const auto [it, isNew] = mGroups.try_emplace(keyOf(aRequest));
+  auto& group = it->second;
+  if (isNew) {
+    group.weight = std::max(aRequest.weight, 1.0);
+    group.startTag = firstTagOf(aRequest);
+    group.sequence = mNextSequence++;
+    mLastTags.erase(it->first);
+    mTurns.insert(turnOf(*it));
   }
-  queue.push_back(aRequest);
+  group.calls.push(aRequest);
   ++mSize;
 }
 
 std::optional<AdmissionRequest>
 FairQueue::pop()
 {
-  if (mRoundRobin.empty()) {
+  if (mTurns.empty()) {
     return std::nullopt;
   }
-  const auto caller = mRoundRobin.front();
-  mRoundRobin.pop_front();
-  auto& queue = mByCaller[caller];
-  const auto request = queue.front();
-  queue.pop_front();
+  const auto it = mGroups.find(mTurns.begin()->key);
+  auto& group = it->second;
+  mTurns.erase(mTurns.begin());
+  mVirtualTime = group.startTag;
+  group.startTag += 1.0 / group.weight;
+  group.sequence = mNextSequence++;
+  mTurns.insert(turnOf(*it));
+  const auto request = group.calls.pop();
   --mSize;
-  if (queue.empty()) {
-    mByCaller.erase(caller);
-  } else {
-    mRoundRobin.push_back(caller);
-  }
+  eraseIfEmpty(it);
   return request;
 }
 
 bool
-FairQueue::remove(std::uint64_t aCall, std::uint64_t aCaller)
+FairQueue::remove(const AdmissionRequest& aRequest)
 {
-  const auto it = mByCaller.find(aCaller);
-  if (it == mByCaller.end()) {
+  const auto it = mGroups.find(keyOf(aRequest));
+  if (it == mGroups.end() || !it->second.calls.remove(aRequest.call, aRequest.caller)) {
     return false;
   }
-  const auto n = std::erase_if(it->second, [aCall](const AdmissionRequest& aRequest) {
-    return aRequest.call == aCall;
-  });
-  mSize -= n;
-  eraseCallerIfEmpty(aCaller);
-  return n > 0;
+  --mSize;
+  eraseIfEmpty(it);
+  return true;
+}
+
+std::optional<AdmissionRequest>
+FairQueue::displaceFor(const AdmissionRequest& aRequest)
+{
+  return aRequest.tenant == 0 ? displaceCaller(aRequest) : displaceTenant(aRequest);
 }
 
 std::optional<AdmissionRequest>
-FairQueue::popNewestOfLargestCaller()
+FairQueue::displaceCaller(const AdmissionRequest& aRequest)
 {
-  const auto it = std::max_element(
-    mByCaller.begin(), mByCaller.end(), [](const auto& aLeft, const auto& aRight) {
-      return aLeft.second.size() < aRight.second.size();
+  const auto largest = std::max_element(
+    mGroups.begin(), mGroups.end(), [](const auto& aLeft, const auto& aRight) {
+      return aLeft.second.calls.size() < aRight.second.calls.size();
     });
-  if (it == mByCaller.end()) {
+  const auto own = mGroups.find(keyOf(aRequest));
+  const auto ownSize = own == mGroups.end() ? 0 : own->second.calls.size();
+  if (largest == mGroups.end() ||
+      largest->second.calls.size() <= kDisplacementRatio * (ownSize + 1)) {
     return std::nullopt;
   }
-  const auto request = it->second.back();
-  it->second.pop_back();
-  --mSize;
-  eraseCallerIfEmpty(request.caller);
-  return request;
+  return removeNewest(largest);
 }
 
-std::size_t
-FairQueue::maxCallerSize() const
+std::optional<AdmissionRequest>
+FairQueue::displaceTenant(const AdmissionRequest& aRequest)
 {
-  std::size_t n = 0;
-  for (const auto& [caller, queue] : mByCaller) {
-    n = std::max(n, queue.size());
+  const auto last = std::max_element(
+    mGroups.begin(), mGroups.end(), [](const auto& aLeft, const auto& aRight) {
+      return aLeft.second.tagOfLast() < aRight.second.tagOfLast();
+    });
+  if (last == mGroups.end()) {
+    return std::nullopt;
+  }
+  const auto& calls = last->second.calls;
+  const auto own = mGroups.find(keyOf(aRequest));
+  const auto tag = own == mGroups.end() ? firstTagOf(aRequest) : own->second.tagOfNext();
+  const bool hasBetterClaim =
+    last == own ? calls.maxCallerSize() >
+                    kDisplacementRatio * (calls.callerSize(aRequest.caller) + 1)
+                : tag < last->second.tagOfLast();
+  if (!hasBetterClaim) {
+    return std::nullopt;
   }
-  return n;
+  return removeNewest(last);
+}
+
+std::optional<AdmissionRequest>
+FairQueue::removeNewest(Groups::iterator aGroup)
+{
+  const auto removed = aGroup->second.calls.popNewestOfLargestCaller();
+  --mSize;
+  eraseIfEmpty(aGroup);
+  return removed;
 }
 
 void
-FairQueue::eraseCallerIfEmpty(std::uint64_t aCaller)
+FairQueue::eraseIfEmpty(Groups::iterator aGroup)
 {
-  const auto it = mByCaller.find(aCaller);
-  if (it != mByCaller.end() && it->second.empty()) {
-    mByCaller.erase(it);
-    std::erase(mRoundRobin, aCaller);
+  if (aGroup->second.calls.size() > 0) {
+    return;
+  }
+  mTurns.erase(turnOf(*aGroup));
+  if (aGroup->second.startTag > mVirtualTime) {
+    mLastTags[aGroup->first] = aGroup->second.startTag;
+  }
+  mGroups.erase(aGroup);
+  if (mSize == 0) {
+    mLastTags.clear();
+    mVirtualTime = 0.0;
   }
 }
 
