--- a/libs/entry/src/EntryWorker.cpp
+++ b/libs/entry/src/EntryWorker.cpp
@@ -186,7 +186,7 @@
   }
   if (aCall.heldOffFor > Duration{ 0 }) {
     return RetryAfterRange::afterHoldOff(
-             aCall.deadline - now, aCall.heldOffFor, aCall.route->rank)
+             aCall.deadline - now, aCall.heldOffFor, aCall.rank())
       .draw(mRandom);
   }
   return RetryAfterRange::of(aCall.deadline - now,
--- a/libs/entry/src/EntryWorkerArrival.cpp
+++ b/libs/entry/src/EntryWorkerArrival.cpp
@@ -3,6 +3,7 @@
 #include "EntryWorker.h"
 #include <core/WallClock.h>
 #include <decide/RouteMatcher.h>
+#include <decide/TenantWeight.h>
 #include <functional>
 #include <messages/HeaderNames.h>
 #include <telemetry/EventLog.h>
@@ -21,6 +22,21 @@
                         : std::hash<std::string_view>()(caller);
 }
 
+/** Where there are tenants, each has its share of the room, whatever its connections. A
+ * caller without one counts as a tenant without a quota. */
+void
+setShare(const Call& aCall, AdmissionRequest& aRequest)
+{
+  if (aCall.preset->tenants.empty()) {
+    return;
+  }
+  const auto* const tenant = aCall.tenant;
+  aRequest.tenant =
+    tenant == nullptr ? aRequest.caller : std::hash<std::string>()(tenant->name);
+  aRequest.weight =
+    tenantWeight(tenant == nullptr ? Tenant{} : *tenant, aCall.preset->quota);
+}
+
 } // namespace
 
 void
@@ -32,32 +48,53 @@
     return;
   }
   auto metadata = dialect.readMetadata(aRequest);
+  accept(
+    { std::move(aRequest), std::move(aResponder), std::move(metadata), mTimers.now() });
+}
+
+void
+EntryWorker::accept(Arrival aArrival)
+{
+  auto& request = aArrival.request;
+  auto& metadata = aArrival.metadata;
   const auto preset = mTables.presets.current();
   if (preset == nullptr) {
-    refuseUnrouted(metadata, aResponder, CallError::NotReady);
+    refuseUnrouted(metadata, aArrival.responder, CallError::NotReady);
     return;
   }
-  const auto route = matchRoute(*preset, metadata.host, aRequest.method, aRequest.target);
+  const auto route = matchRoute(*preset, metadata.host, request.method, request.target);
   if (route.has_error()) {
-    refuseUnrouted(metadata, aResponder, CallError::NoRoute);
+    refuseUnrouted(metadata, aArrival.responder, CallError::NoRoute);
+    return;
+  }
+  const auto keyCheck = KeyCheck::of(
+    *preset, *route.value(), metadata.credential, mTables.sourceAge(mTimers.now()));
+  if (keyCheck.refusal().has_value()) {
+    const bool mayBeNew = keyCheck.verdict == KeyVerdict::Unknown && !aArrival.hasWaited;
+    if (!mayBeNew || !awaitNewerPreset(aArrival)) {
+      refuseKey(keyCheck, *route.value(), aArrival);
+    }
     return;
   }
+  metadata.credential = {}; // in memory no longer than needed
   auto call = std::make_unique<Call>();
   call->id = CallId::make(mIndex, mNextSequence++);
   call->preset = preset;
   call->route = route.value();
+  call->tenant = keyCheck.tenant;
   call->service = mTrafficSplit.next(*call->route, mRandom);
-  call->arrivedAt = mTimers.now();
+  call->arrivedAt = aArrival.at;
   call->deadline =
     call->arrivedAt +
     std::min(call->route->deadline, metadata.callerTimeout.value_or(Duration::max()));
   call->metadata = std::move(metadata);
-  call->admissionRequest = { call->id,       callerKey(aRequest, *aResponder),
-                             mIndex,         call->route->rank,
+  call->admissionRequest = { call->id,       callerKey(request, *aArrival.responder),
+                             mIndex,         call->rank(),
                              call->deadline, call->arrivedAt };
+  setShare(*call, call->admissionRequest);
   call->isClaimGranted = !call->isClaimedOrder();
-  call->request = std::move(aRequest);
-  call->responder = std::move(aResponder);
+  call->request = std::move(request);
+  call->responder = std::move(aArrival.responder);
   auto& added = *call;
   mCalls[added.id] = std::move(call);
   mRetryBudget.recordCall(added.service, added.arrivedAt, mRandom);
@@ -100,7 +137,8 @@
     return;
   }
   if (aCall.isOrder() || !mTables.suspects.isEmpty()) {
-    aCall.fingerprint = requestDigest(aCall.request, aCall.metadata.host);
+    aCall.fingerprint =
+      requestDigest(aCall.request, aCall.metadata.host, aCall.tenantName());
     const auto now = mTimers.now();
     if (mTables.suspects.isBlocked(aCall.fingerprint, now)) {
       aCall.isTrial = mTables.suspects.tryTakeTrial(
@@ -126,7 +164,7 @@
     endWithError(aCall, CallError::MissingKey);
     return false;
   }
-  aCall.key = keyDigest(aCall.request);
+  aCall.key = keyDigest(aCall.request, aCall.tenantName());
   aCall.claim = { mTables.settings.common.vm,
                   mTables.incarnation,
                   mTables.nextClaimSequence++ };
@@ -152,7 +190,7 @@
 void
 EntryWorker::requestAdmission(Call& aCall)
 {
-  const auto rank = aCall.route->rank;
+  const auto rank = aCall.rank();
   if (!mTables.upstreams.availability(aCall.service, rank, mTimers.now()).isAvailable) {
     endAsUnavailable(aCall);
     return;
--- a/libs/telemetry/include/telemetry/Counter.h
+++ b/libs/telemetry/include/telemetry/Counter.h
@@ -22,13 +22,16 @@
   /** Messages for permits of quotas, each for several tenants: "sent", "served", "lost";
    * "alone": no issuer replies. */
   QuotaMessages,
+  /** Calls refused for their key, by KeyVerdict: "missing", "malformed", "repeated",
+   * "unknown" or "stale". */
+  KeyRefusals,
   LimitedRequests, ///< to upstreams with a request limit: "call"; "no-permit": none sent
 };
 
 template<>
 struct EnumTable<Counter>
 {
-  static constexpr std::array<EnumName<Counter>, 8> kEntries{ {
+  static constexpr std::array<EnumName<Counter>, 9> kEntries{ {
     { Counter::SourceReads, "masticwall_source_readings_total" },
     { Counter::FeedRequests, "masticwall_feeds_total" },
     { Counter::Retries, "masticwall_retries_total" },
@@ -36,6 +39,7 @@
     { Counter::LoadQueries, "masticwall_load_queries_total" },
     { Counter::Quotas, "masticwall_quota_calls_total" },
     { Counter::QuotaMessages, "masticwall_quota_messages_total" },
+    { Counter::KeyRefusals, "masticwall_key_refusals_total" },
     { Counter::LimitedRequests, "masticwall_limited_requests_total" },
   } };
 };
