--- a/libs/entry/include/entry/ControlPlane.h
+++ b/libs/entry/include/entry/ControlPlane.h
@@ -6,6 +6,7 @@
 #include <decide/ClaimVerdict.h>
 #include <decide/PermitGrant.h>
 #include <decide/PermitRequest.h>
+#include <decide/QuotaDecisions.h>
 #include <decide/UpstreamAddress.h>
 #include <functional>
 #include <messages/Feed.h>
@@ -50,6 +51,12 @@
   std::function<void(const UpstreamAddress&, const PermitRequest&, PermitCallback)>
     requestPermits;
 
+  using QuotaCallback = std::function<void(const QuotaDecisions&)>;
+
+  /** Requests what the calls of a tenant with a quota need; calls back when some of them
+   * need not wait any more. */
+  std::function<void(const std::string& aTenant, QuotaCallback)> requestQuota;
+
   /** Asks another VM for a newer preset, and takes it; calls back once, when it is in the
    * table, or there is none, or another VM was asked a moment ago. */
   std::function<void(std::function<void()>)> catchUp;
--- a/libs/entry/src/EntryWorkerArrival.cpp
+++ b/libs/entry/src/EntryWorkerArrival.cpp
@@ -3,6 +3,7 @@
 #include "EntryWorker.h"
 #include <core/WallClock.h>
 #include <decide/RouteMatcher.h>
+#include <decide/TenantWeight.h>
 #include <functional>
 #include <messages/HeaderNames.h>
 #include <telemetry/EventLog.h>
@@ -12,22 +13,30 @@
 
 namespace {
 
-/** Identifies a caller for fair queueing: by its tenant, so that one with many
- * connections has one turn as the others have; else by its name, or its address if it has
- * none. */
+/** Identifies a caller for fair queueing: by its name, or its address if it has none. */
 std::uint64_t
-callerKey(const Call& aCall,
-          const http::Request& aRequest,
-          const http::Responder& aResponder)
+callerKey(const http::Request& aRequest, const http::Responder& aResponder)
 {
-  if (aCall.tenant != nullptr) {
-    return std::hash<std::string>()(aCall.tenant->name);
-  }
   const auto caller = callerOf(aRequest);
   return caller.empty() ? std::hash<std::string>()(aResponder.callerAddress())
                         : std::hash<std::string_view>()(caller);
 }
 
+/** Where there are tenants, each has its share of the room, whatever its connections. A
+ * caller without one counts as a tenant without a quota. */
+void
+setShare(const Call& aCall, AdmissionRequest& aRequest)
+{
+  if (aCall.preset->tenants.empty()) {
+    return;
+  }
+  const auto* const tenant = aCall.tenant;
+  aRequest.tenant =
+    tenant == nullptr ? aRequest.caller : std::hash<std::string>()(tenant->name);
+  aRequest.weight =
+    tenantWeight(tenant == nullptr ? Tenant{} : *tenant, aCall.preset->quota);
+}
+
 } // namespace
 
 void
@@ -79,11 +88,10 @@
     call->arrivedAt +
     std::min(call->route->deadline, metadata.callerTimeout.value_or(Duration::max()));
   call->metadata = std::move(metadata);
-  call->admissionRequest = {
-    call->id,       callerKey(*call, request, *aArrival.responder),
-    mIndex,         call->rank(),
-    call->deadline, call->arrivedAt
-  };
+  call->admissionRequest = { call->id,       callerKey(request, *aArrival.responder),
+                             mIndex,         call->rank(),
+                             call->deadline, call->arrivedAt };
+  setShare(*call, call->admissionRequest);
   call->isClaimGranted = !call->isClaimedOrder();
   call->request = std::move(request);
   call->responder = std::move(aArrival.responder);
@@ -147,7 +155,7 @@
   if (aCall.isClaimedOrder() && !registerOrder(aCall)) {
     return;
   }
-  requestAdmission(aCall);
+  startQuota(aCall);
 }
 
 bool
--- a/libs/entry/src/EntryWorkerSending.cpp
+++ b/libs/entry/src/EntryWorkerSending.cpp
@@ -33,7 +33,8 @@
 void
 EntryWorker::sendIfReady(Call& aCall)
 {
-  if (aCall.hasSlot && aCall.isClaimGranted && aCall.stage == CallStage::Waiting) {
+  if (aCall.hasSlot && aCall.isClaimGranted && aCall.stage == CallStage::Waiting &&
+      hasValidQuota(aCall)) {
     queryLoads(aCall);
   }
 }
--- a/libs/entry/src/StateDump.cpp
+++ b/libs/entry/src/StateDump.cpp
@@ -65,6 +65,22 @@
   return list;
 }
 
+/** The tenants with the most refusals. */
+QJsonArray
+dumpQuotas(const EntryTables& aTables)
+{
+  constexpr std::size_t kMaxTenants = 100;
+  QJsonArray list;
+  for (const auto& it : aTables.quotas.snapshot(kMaxTenants)) {
+    list.append(
+      QJsonObject{ { QStringLiteral("tenant"), toQString(it.tenant) },
+                   { QStringLiteral("permits"), it.permits },
+                   { QStringLiteral("waiting"), static_cast<qint64>(it.waiting) },
+                   { QStringLiteral("refused"), static_cast<qint64>(it.refusals) } });
+  }
+  return list;
+}
+
 QJsonArray
 dumpWorkers(const EntryTables& aTables)
 {
@@ -99,6 +115,7 @@
     { QStringLiteral("evacuated"), dumpEvacuated(aTables) },
     { QStringLiteral("upstreams"), dumpUpstreams(aTables) },
     { QStringLiteral("admission"), dumpAdmission(aTables) },
+    { QStringLiteral("quotas"), dumpQuotas(aTables) },
     { QStringLiteral("calls"), aTables.statistics.toJson() },
   };
 }
--- a/libs/telemetry/include/telemetry/Counter.h
+++ b/libs/telemetry/include/telemetry/Counter.h
@@ -18,6 +18,10 @@
    * "bad-retry-after" or "bad-server-limit". */
   UpstreamSignals,
   LoadQueries, ///< "answered" or "failed" queries; "over-budget": none sent
+  Quotas,      ///< calls of tenants with a quota: how QuotaVerdict decided first
+  /** Messages for permits of quotas, each for several tenants: "sent", "served", "lost";
+   * "alone": no issuer replies. */
+  QuotaMessages,
   /** Calls refused for their key, by KeyVerdict: "missing", "malformed", "repeated",
    * "unknown" or "stale". */
   KeyRefusals,
@@ -27,12 +31,14 @@
 template<>
 struct EnumTable<Counter>
 {
-  static constexpr std::array<EnumName<Counter>, 7> kEntries{ {
+  static constexpr std::array<EnumName<Counter>, 9> kEntries{ {
     { Counter::SourceReads, "masticwall_source_readings_total" },
     { Counter::FeedRequests, "masticwall_feeds_total" },
     { Counter::Retries, "masticwall_retries_total" },
     { Counter::UpstreamSignals, "masticwall_upstream_signals_total" },
     { Counter::LoadQueries, "masticwall_load_queries_total" },
+    { Counter::Quotas, "masticwall_quota_calls_total" },
+    { Counter::QuotaMessages, "masticwall_quota_messages_total" },
     { Counter::KeyRefusals, "masticwall_key_refusals_total" },
     { Counter::LimitedRequests, "masticwall_limited_requests_total" },
   } };
--- a/tests/harness/GatewaySystem.cpp
+++ b/tests/harness/GatewaySystem.cpp
@@ -138,7 +138,8 @@
            (hasTenants ? (isPublic ? ",true]" : ",false]") : "]");
   };
   const std::string tenants =
-    hasTenants ? R"(,"tenants":{"columns":["name","api-keys","priority"],"rows":[)" +
+    hasTenants ? R"(,"tenants":{"columns":["name","api-keys","priority","rate-per-s",)"
+                 R"("burst"],"rows":[)" +
                    mTenants + "]}"
                : "";
   writeRecord(
--- a/tests/harness/GatewaySystem.h
+++ b/tests/harness/GatewaySystem.h
@@ -54,7 +54,8 @@
   /** Of requests and answers; in the configurations that are written from now on. */
   void setMaxBodyBytes(qint64 aBytes) { mMaxBodyBytes = aBytes; }
 
-  /** Rows of the columns "name", "api-keys" and "priority", in the configurations that
+  /** Rows of the columns "name", "api-keys", "priority", and maybe "rate-per-s" and
+   * "burst", in the configurations that
    * are written from now on; with them "/open/" is a public route. */
   void setTenants(const std::string& aRows) { mTenants = aRows; }
 
