Let a VM exceed a small share while upstreams have room, and don't send calls unseen

Cause: in front of rap's 17 and 111 upstreams of two slots, a VM's limit of calls in flight is 1 and 3, so that calls wait in one VM while slots are free. And upstreams without a report count as idle: in a flood they look better than all near ones, but their first reply takes two round trips of 4.4 ms each way or more, longer than the 12 ms that a call waits, so calls are sent to them unseen.

Change: InFlightLimit adds the root of the share while the reported load is below one call a slot. LoadReplyTimes notes the first replies of each data centre; where they are late, an upstream without a report counts as loaded as the others are on average. Services that tell no load, and data centres that reply in time, are served as before.

--- a/libs/decide/include/decide/AdmissionQueue.h
+++ b/libs/decide/include/decide/AdmissionQueue.h
@@ -32,6 +32,10 @@
    */
   void configure(const Policies& aPolicies, int aLimit, std::size_t aMaxQueueLength);
 
+  /** Sets how many calls in flight are allowed beyond the limit for now; none at first.
+   */
+  void setMargin(int aCalls) { mMargin = aCalls; }
+
   /** Admits, queues or refuses a new call. */
   Admission offer(const AdmissionRequest& aRequest, Instant aNow);
 
@@ -49,7 +53,7 @@
   bool cancel(const AdmissionRequest& aRequest);
 
   int inFlight() const { return mInFlight; }
-  int limit() const { return mLimit; }
+  int limit() const { return mLimit + mMargin; }
 
   /** The number of waiting calls of a rank. */
   std::size_t waiting(Rank aRank) const { return mWaiting[indexOf(aRank)].size(); }
@@ -70,6 +74,7 @@
   std::array<Instant, kRankCount> mIntervalUpdatedAt{}; ///< for mStartInterval
   std::array<Instant, kRankCount> mLastStart{}; ///< zero if it left no call waiting
   int mLimit = 1;
+  int mMargin = 0; ///< calls in flight beyond `mLimit`
   int mInFlight = 0;
   std::size_t mMaxQueueLength = 1;
 };
--- a/libs/decide/include/decide/EstimatedLatency.h
+++ b/libs/decide/include/decide/EstimatedLatency.h
@@ -20,6 +20,9 @@
   Duration typicalProcessingTime; ///< of a call to the service, at an average upstream
   double meanProcessingTimePercent =
     100.0; ///< mean of the reported LoadReport::processingTimePercent
+  /** Calls per slot at an upstream without any report whose reply to a load query would
+   * come too late; the others count as idle. */
+  double unknownLoad = 0.0;
 
   /** The estimate for a call that is sent to the upstream at `aNow`. */
   LatencyEstimate estimate(const UpstreamState& aState, Instant aNow) const;
--- a/libs/decide/include/decide/Locality.h
+++ b/libs/decide/include/decide/Locality.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <core/Time.h>
+#include <decide/LoadReplyTimes.h>
 #include <string>
 
 namespace masticwall {
@@ -16,6 +17,7 @@
   std::string dataCentre;
   Duration otherDataCentrePenalty{ 120ms };
   Duration otherRegionPenalty{ 400ms };
+  LoadReplyTimes replyTimes{}; ///< of upstreams in other data centres
 };
 
 } // namespace masticwall
--- a/libs/decide/include/decide/UpstreamPool.h
+++ b/libs/decide/include/decide/UpstreamPool.h
@@ -248,6 +248,13 @@
     return mSlowUpstreams.typicalProcessingTime();
   }
 
+  /** Whether upstreams tell their load, and there are fewer calls than slots at those
+   * that lately did, on average. */
+  bool hasRoom() const { return mMeanLoad.has_value() && *mMeanLoad < 1.0; }
+
+  /** Whether a load report of this instance is known. */
+  bool hasReport(const UpstreamAddress& aUpstream) const;
+
   /** Total slots of the upstreams in `aRegion` that are not leaving. */
   int slotsIn(std::string_view aRegion) const;
 
@@ -260,7 +267,10 @@
   /** `aLocality` must outlive the result. */
   EstimatedLatency estimator(const Locality& aLocality) const
   {
-    return { aLocality, typicalProcessingTime(), mMeanProcessingTimePercent };
+    return { aLocality,
+             typicalProcessingTime(),
+             mMeanProcessingTimePercent,
+             mMeanLoad.value_or(0.0) };
   }
 
   bool isWithin(const LatencyEstimate& aEstimate, const LatencyLimit& aLimit) const
@@ -310,6 +320,7 @@
   RequestLimits mRequestLimits;
   double mMeanProcessingTimePercent =
     100.0; ///< moving average of LoadReport::processingTimePercent
+  std::optional<double> mMeanLoad; ///< moving average of reported calls per slot
 };
 
 } // namespace masticwall
--- a/libs/decide/include/decide/UpstreamState.h
+++ b/libs/decide/include/decide/UpstreamState.h
@@ -28,6 +28,8 @@
   std::optional<RequestLimit> requestLimit; ///< empty: it takes any number
   PermitStock permits; ///< of this process, for requests within `requestLimit`
 
+  bool hasReported() const { return load.receivedAt != Instant{}; }
+
   /** False for an upstream that leaves or is held off: it gets no calls, trial calls or
    * load queries, even if no other is eligible. */
   bool isOpen(Instant aNow) const { return !leaving && heldOffUntil <= aNow; }
--- a/libs/decide/src/AdmissionQueue.cpp
+++ b/libs/decide/src/AdmissionQueue.cpp
@@ -48,7 +48,7 @@
 Admission
 AdmissionQueue::offer(const AdmissionRequest& aRequest, Instant aNow)
 {
-  if (mInFlight < mLimit && !hasWaiting()) {
+  if (mInFlight < limit() && !hasWaiting()) {
     ++mInFlight;
     return { AdmissionVerdict::Start, std::nullopt };
   }
@@ -75,7 +75,7 @@
 {
   mInFlight = std::max(0, mInFlight - 1);
   AdmissionRelease release;
-  while (mInFlight < mLimit && hasWaiting()) {
+  while (mInFlight < limit() && hasWaiting()) {
     const auto request = dequeue();
     if (hasExpired(*request, aNow)) {
       release.expired.push_back(*request);
--- a/libs/decide/src/EstimatedLatency.cpp
+++ b/libs/decide/src/EstimatedLatency.cpp
@@ -27,18 +27,34 @@
   return std::exp2(-Seconds(aAge) / Seconds(aHalfLife));
 }
 
+/** Calls per slot, apart from the last report. None at an upstream with a request limit:
+ * it gets no load queries, and few calls. */
+double
+usualLoad(const UpstreamState& aState, const EstimatedLatency& aEstimator)
+{
+  if (aState.requestLimit.has_value()) {
+    return 0.0;
+  }
+  const auto& dataCentre = aState.address.dataCentre;
+  const bool isUnknown = !aState.hasReported() &&
+                         dataCentre != aEstimator.locality.dataCentre &&
+                         aEstimator.locality.replyTimes.areLate(dataCentre);
+  return isUnknown ? aEstimator.unknownLoad : aState.meanLoad;
+}
+
 /**
  * Estimated calls per slot, running and queued, including the call to be sent. As the
- * last report ages, the moving average of the reports replaces it; or none, at an
- * upstream with a request limit: it gets no load queries, and few calls.
+ * last report ages, the usual load replaces it.
  */
 double
-expectedLoad(const UpstreamState& aState, Instant aNow)
+expectedLoad(const UpstreamState& aState,
+             const EstimatedLatency& aEstimator,
+             Instant aNow)
 {
   const auto slots = static_cast<double>(aState.slots);
   const auto weight = decayWeight(aNow - aState.load.receivedAt, kLoadHalfLife);
   const auto reported = (aState.load.inUse + aState.load.queued) / slots;
-  const auto usual = aState.requestLimit.has_value() ? 0.0 : aState.meanLoad;
+  const auto usual = usualLoad(aState, aEstimator);
   const auto load = weight * reported + (1.0 - weight) * usual;
   return std::max(load, aState.inFlight / slots) + 1.0 / slots;
 }
@@ -59,7 +75,7 @@
 LatencyEstimate
 EstimatedLatency::estimate(const UpstreamState& aState, Instant aNow) const
 {
-  const auto load = expectedLoad(aState, aNow);
+  const auto load = expectedLoad(aState, *this, aNow);
   const auto processingTimeWeight =
     decayWeight(aNow - aState.load.receivedAt, kProcessingTimeHalfLife);
   const auto relativeProcessingTime =
--- a/libs/decide/src/UpstreamPool.cpp
+++ b/libs/decide/src/UpstreamPool.cpp
@@ -13,6 +13,9 @@
 /** Weight of a new sample in the moving average of the reported processing times. */
 constexpr double kProcessingTimePercentWeight = 1.0 / 32.0;
 
+/** Weight of a new sample in the moving average of the load of all upstreams. */
+constexpr double kMeanLoadWeight = 1.0 / 32.0;
+
 } // namespace
 
 void
@@ -91,6 +94,8 @@
     state->slots = aLoad.slots > 0 ? aLoad.slots : state->slots;
     const auto load = static_cast<double>(aLoad.inUse + aLoad.queued) / state->slots;
     state->meanLoad += (load - state->meanLoad) / kLoadWeightDivisor;
+    const auto meanLoad = mMeanLoad.value_or(load);
+    mMeanLoad = meanLoad + kMeanLoadWeight * (load - meanLoad);
     mMeanProcessingTimePercent +=
       kProcessingTimePercentWeight *
       (aLoad.processingTimePercent - mMeanProcessingTimePercent);
@@ -170,6 +175,13 @@
   return availability;
 }
 
+bool
+UpstreamPool::hasReport(const UpstreamAddress& aUpstream) const
+{
+  const auto* const state = findInstance(aUpstream);
+  return state != nullptr && state->hasReported();
+}
+
 std::vector<std::string>
 UpstreamPool::regions(std::string_view aLocalRegion) const
 {
--- a/libs/decide/tests/EstimatedLatencyTest.cpp
+++ b/libs/decide/tests/EstimatedLatencyTest.cpp
@@ -67,6 +67,7 @@
 
   test::ManualClock& time() { return mTime; }
   UpstreamPool& pool() { return mPool; }
+  Locality& locality() { return mLocality; }
 
 private:
   test::ManualClock mTime;
@@ -179,3 +180,37 @@
     CHECK(choose() != "near-1");
   }
 }
+
+TEST_CASE_METHOD(Fixture, "an unknown load far away doesn't count as none")
+{
+  const auto fillNear = [this] {
+    report("near-1", 4, 3, 100);
+    report("near-2", 4, 3, 100);
+  };
+  const auto chooseOnce = [this] {
+    const auto name = choose();
+    pool().recordAttemptEnd(name, AttemptOutcome::Cancelled, {}, time().now());
+    return name;
+  };
+  fillNear();
+  CHECK(chooseOnce() == "next");
+  locality().replyTimes.record("juazeiro", 19ms);
+  for (int i = 0; i < 20; ++i) {
+    fillNear();
+    CHECK(chooseOnce().starts_with("near"));
+  }
+  // Known to be idle, it is as good as before.
+  report("next", 0, 0, 100);
+  CHECK(choose() == "next");
+}
+
+TEST_CASE_METHOD(Fixture, "upstreams have room if they report fewer calls than slots")
+{
+  CHECK_FALSE(pool().hasRoom());
+  report("near-1", 2, 0, 100);
+  CHECK(pool().hasRoom());
+  for (int i = 0; i < 100; ++i) {
+    report("near-1", 4, 2, 100);
+  }
+  CHECK_FALSE(pool().hasRoom());
+}
--- a/libs/entry/src/EntryWorkerArrival.cpp
+++ b/libs/entry/src/EntryWorkerArrival.cpp
@@ -157,8 +157,10 @@
     endAsUnavailable(aCall);
     return;
   }
-  const auto admission =
-    mTables.admission.offer(aCall.service, aCall.admissionRequest, mTimers.now());
+  const auto admission = mTables.admission.offer(aCall.service,
+                                                 aCall.admissionRequest,
+                                                 mTables.upstreams.hasRoom(aCall.service),
+                                                 mTimers.now());
   if (admission.displaced.has_value()) {
     const auto displaced = *admission.displaced;
     mContext.postToWorker(displaced.worker, [displaced](EntryWorker& aWorker) {
--- a/libs/entry/src/EntryWorkerLoadQueries.cpp
+++ b/libs/entry/src/EntryWorkerLoadQueries.cpp
@@ -12,9 +12,6 @@
 /** Older load reports are stale: upstreams' hosts change speed several times a second. */
 constexpr Duration kMaxReportAge = std::chrono::milliseconds(60);
 
-/** Time to wait for load reports; nearby upstreams respond within a few milliseconds. */
-constexpr Duration kMaxLoadQueryWait = std::chrono::milliseconds(12);
-
 constexpr int kMaxLoadQueryRounds = 2;
 
 /** Reports that arrive after the wait are still recorded, for later calls. */
@@ -56,8 +53,9 @@
   aCall.stage = CallStage::QueryingLoads;
   aCall.pendingLoadQueries = stale.size() + (wantsPermit ? 1 : 0);
   const auto id = aCall.id;
-  aCall.loadQueryTimer = mTimers.scheduleAfter(
-    mustWait ? kMaxPermitWait : kMaxLoadQueryWait, [this, id] { finishLoadQueries(id); });
+  aCall.loadQueryTimer =
+    mTimers.scheduleAfter(mustWait ? kMaxPermitWait : LoadReplyTimes::kMaxWait,
+                          [this, id] { finishLoadQueries(id); });
   if (wantsPermit) {
     requestPermit(aCall, *permit);
   }
@@ -132,6 +130,7 @@
   if (aResult.error && wasSent) {
     mTables.upstreams.reportUnreachable(aUpstream, now);
   } else if (!aResult.error) {
+    mTables.upstreams.recordReplyTime(aUpstream, now - aSentAt);
     applyReport(aUpstream,
                 mContext.dialect.readUpstreamReport(aResult.response, now),
                 ReportSource::LoadQuery,
--- a/libs/entry/src/MembershipUpdate.cpp
+++ b/libs/entry/src/MembershipUpdate.cpp
@@ -1,6 +1,5 @@
 #include "MembershipUpdate.h"
 #include <algorithm>
-#include <cmath>
 
 namespace masticwall {
 
@@ -64,12 +63,10 @@
   }
   const auto entries = countEntries(list, region);
   for (const auto& it : preset->services) {
-    const auto inFlightLimit =
-      preset->limits.overcommit * aTables.upstreams.slotsIn(it.name, region) / entries;
-    aTables.admission.configure(it.name,
-                                preset->ranks,
-                                static_cast<int>(std::ceil(inFlightLimit)),
-                                preset->limits.maxQueueLength);
+    const auto limit = InFlightLimit::of(
+      preset->limits.overcommit, aTables.upstreams.slotsIn(it.name, region), entries);
+    aTables.admission.configure(
+      it.name, preset->ranks, limit, preset->limits.maxQueueLength);
   }
 }
 
--- a/libs/tables/include/tables/AdmissionTable.h
+++ b/libs/tables/include/tables/AdmissionTable.h
@@ -2,6 +2,7 @@
 
 #include <core/OrderedMutex.h>
 #include <decide/AdmissionQueue.h>
+#include <decide/InFlightLimit.h>
 #include <string>
 #include <unordered_map>
 
@@ -24,17 +25,18 @@
   };
 
   /**
-   * Sets the policies of the service's queue: `aLimit` calls in flight and `aQueueLength`
-   * waiting calls of each rank at most; see AdmissionQueue::configure().
+   * Sets the policies of the service's queue: the limit of calls in flight, and at most
+   * `aQueueLength` waiting calls of each rank; see AdmissionQueue::configure().
    */
   void configure(const std::string& aService,
                  const AdmissionQueue::Policies& aPolicies,
-                 int aLimit,
+                 const InFlightLimit& aLimit,
                  std::size_t aQueueLength);
 
-  /** Starts, queues or refuses a call. */
+  /** Starts, queues or refuses a call. `aHasRoom`: see UpstreamPool::hasRoom(). */
   Admission offer(const std::string& aService,
                   const AdmissionRequest& aAdmissionRequest,
+                  bool aHasRoom,
                   Instant aNow);
 
   /** Ends a started call; returns the waiting calls to start and those to drop. */
@@ -53,6 +55,7 @@
 private:
   mutable OrderedMutex mMutex{ LockLevel::Admission };
   std::unordered_map<std::string, AdmissionQueue> mQueues;
+  std::unordered_map<std::string, int> mMargins; ///< InFlightLimit::margin, by service
 };
 
 } // namespace masticwall
--- a/libs/tables/include/tables/UpstreamTable.h
+++ b/libs/tables/include/tables/UpstreamTable.h
@@ -55,6 +55,12 @@
   /** Stores a load report of the upstream. */
   void reportLoad(const UpstreamAddress& aUpstream, const LoadReport& aLoad);
 
+  /** A load query was answered after `aTime`. Call it before reportLoad(). */
+  void recordReplyTime(const UpstreamAddress& aUpstream, Duration aTime);
+
+  /** See UpstreamPool::hasRoom(); false for an unknown service. */
+  bool hasRoom(const std::string& aService) const;
+
   /** The upstream could not be reached for a load query; no call was sent to it. */
   void reportUnreachable(const UpstreamAddress& aUpstream, Instant aNow);
 
--- a/libs/tables/src/AdmissionTable.cpp
+++ b/libs/tables/src/AdmissionTable.cpp
@@ -5,20 +5,24 @@
 void
 AdmissionTable::configure(const std::string& aService,
                           const AdmissionQueue::Policies& aPolicies,
-                          int aLimit,
+                          const InFlightLimit& aLimit,
                           std::size_t aQueueLength)
 {
   std::scoped_lock lock(mMutex);
-  mQueues[aService].configure(aPolicies, aLimit, aQueueLength);
+  mMargins[aService] = aLimit.margin;
+  mQueues[aService].configure(aPolicies, aLimit.share, aQueueLength);
 }
 
 Admission
 AdmissionTable::offer(const std::string& aService,
                       const AdmissionRequest& aAdmissionRequest,
+                      bool aHasRoom,
                       Instant aNow)
 {
   std::scoped_lock lock(mMutex);
-  return mQueues[aService].offer(aAdmissionRequest, aNow);
+  auto& queue = mQueues[aService];
+  queue.setMargin(aHasRoom ? mMargins[aService] : 0);
+  return queue.offer(aAdmissionRequest, aNow);
 }
 
 AdmissionRelease
--- a/libs/tables/src/UpstreamTable.cpp
+++ b/libs/tables/src/UpstreamTable.cpp
@@ -97,6 +97,25 @@
   mPools[aUpstream.service].reportLoad(aUpstream.name, aLoad);
 }
 
+void
+UpstreamTable::recordReplyTime(const UpstreamAddress& aUpstream, Duration aTime)
+{
+  std::scoped_lock lock(mMutex);
+  // Only the first query to an upstream surely opened a connection.
+  if (aUpstream.dataCentre != mLocality.dataCentre &&
+      !mPools[aUpstream.service].hasReport(aUpstream)) {
+    mLocality.replyTimes.record(aUpstream.dataCentre, aTime);
+  }
+}
+
+bool
+UpstreamTable::hasRoom(const std::string& aService) const
+{
+  std::scoped_lock lock(mMutex);
+  const auto it = mPools.find(aService);
+  return it != mPools.end() && it->second.hasRoom();
+}
+
 void
 UpstreamTable::reportUnreachable(const UpstreamAddress& aUpstream, Instant aNow)
 {
