Model distance, new connections and hanging upstreams in virtual time

The model of one service gets data centres and regions apart, connections that are opened and close when idle, upstreams that never answer when full, callers that keep to a VM, and a processor time for each message; it tells the age of the report at the choice and the regret against the best upstream.

--- a/tests/model/FleetModel.cpp
+++ b/tests/model/FleetModel.cpp
@@ -39,6 +39,9 @@
     mEntries.push_back(
       std::make_unique<ModelEntry>(mTime, mPlan, mPreset, mUpstreams, mResult, i));
   }
+  for (int i = 0; i < mPlan.callers; ++i) {
+    mEntryOfCaller.push_back(randomIndex(mRandom, mEntries.size()));
+  }
 }
 
 FleetResult
@@ -57,7 +60,10 @@
   std::exponential_distribution<double> gap(mPlan.kinds[aKind].perSecond);
   mTime.after(seconds(gap(mRandom)), [this, aKind] {
     scheduleArrival(aKind);
-    mEntries[randomIndex(mRandom, mEntries.size())]->onCall(aKind);
+    const auto entry = mEntryOfCaller.empty()
+                         ? randomIndex(mRandom, mEntries.size())
+                         : mEntryOfCaller[randomIndex(mRandom, mEntryOfCaller.size())];
+    mEntries[entry]->onCall(aKind);
   });
 }
 
--- a/tests/model/FleetModel.h
+++ b/tests/model/FleetModel.h
@@ -28,6 +28,7 @@
   FleetResult mResult;
   std::vector<std::unique_ptr<ModelUpstream>> mUpstreams;
   std::vector<std::unique_ptr<ModelEntry>> mEntries;
+  std::vector<std::size_t> mEntryOfCaller;
 };
 
 } // namespace masticwall::model
--- a/tests/model/ModelEntry.cpp
+++ b/tests/model/ModelEntry.cpp
@@ -1,15 +1,14 @@
 #include "ModelEntry.h"
-#include <cmath>
 
 namespace masticwall::model {
 
 namespace {
 
-constexpr Duration kOneWay = std::chrono::milliseconds(1);
 constexpr int kMaxAttempts = 3;
 constexpr int kMaxInFlight = 15;
 constexpr int kQueryRounds = 2;
 constexpr Duration kMaxReportAge = std::chrono::milliseconds(60);
+constexpr Duration kHandshake = std::chrono::milliseconds(1);
 constexpr double kWorkSigma = 0.3; ///< of the log-normal work of a call
 
 } // namespace
@@ -27,22 +26,25 @@
   , mResult(aResult)
   , mRandom(aPlan.seed * 1000 + static_cast<std::uint64_t>(aIndex))
 {
-  mLocality.region = std::string("r");
+  const auto regionOf = [&](int aDataCentre) {
+    return "r" + std::to_string(aDataCentre % aPlan.regions);
+  };
+  mLocality = aPlan.locality;
+  mLocality.region = regionOf(aIndex % aPlan.dataCentres);
   mLocality.dataCentre = std::to_string(aIndex % aPlan.dataCentres);
-  std::vector<UpstreamAddress> addresses;
   for (int i = 0; i < aPlan.upstreams; ++i) {
     UpstreamAddress address;
     address.name = std::to_string(i);
-    address.region = mLocality.region;
+    address.region = regionOf(i % aPlan.dataCentres);
     address.dataCentre = std::to_string(i % aPlan.dataCentres);
     address.slots = aPlan.slots;
-    addresses.push_back(address);
+    mAddresses.push_back(address);
   }
-  mPool.update(addresses, aPlan.slots, mTime.now());
+  mConnections.resize(mAddresses.size());
+  mPool.update(mAddresses, aPlan.slots, mTime.now());
   const auto slots = aPlan.upstreams * aPlan.slots;
-  const auto limit = aPreset.limits.overcommit * slots / aPlan.entries;
-  mAdmission.configure(
-    aPreset.ranks, static_cast<int>(std::ceil(limit)), aPreset.limits.maxQueueLength);
+  mLimit = InFlightLimit::of(aPreset.limits.overcommit, slots, aPlan.entries);
+  mAdmission.configure(aPreset.ranks, mLimit.share, aPreset.limits.maxQueueLength);
   mRetryBudget.configure(RetryAllowance::of(aPreset.limits, aPlan.entries, 1));
 }
 
@@ -58,9 +60,10 @@
   call.work = std::chrono::duration<double>(kind.work).count() * factor(mRandom);
   ++mResult.ranks[indexOf(kind.rank)].offered;
   mRetryBudget.recordCall("s", mTime.now(), mRandom);
+  mAdmission.setMargin(mPlan.hasMargin && mPool.hasRoom() ? mLimit.margin : 0);
   switch (mAdmission.offer(call.request, mTime.now()).verdict) {
     case AdmissionVerdict::Start:
-      queryLoads(id);
+      start(id);
       return;
     case AdmissionVerdict::Wait:
       return;
@@ -71,6 +74,12 @@
   }
 }
 
+void
+ModelEntry::start(std::uint64_t aCall)
+{
+  handleMessage([this, aCall] { queryLoads(aCall); });
+}
+
 void
 ModelEntry::queryLoads(std::uint64_t aCall)
 {
@@ -91,21 +100,54 @@
     return;
   }
   mResult.loadQueries += static_cast<int>(stale.size());
-  mTime.after(kOneWay, [this, aCall, stale] {
-    std::vector<LoadReport> reports;
-    reports.reserve(stale.size());
-    for (const auto& it : stale) {
-      reports.push_back(mUpstreams[std::stoul(it.name)]->report());
-    }
-    mTime.after(kOneWay, [this, aCall, stale, reports] {
-      for (std::size_t i = 0; i < stale.size(); ++i) {
-        auto report = reports[i];
-        report.receivedAt = mTime.now();
-        mPool.reportLoad(stale[i].name, report);
-      }
-      queryLoads(aCall);
+  call.pendingQueries = static_cast<int>(stale.size());
+  if (mPlan.maxQueryWait != Duration::max()) {
+    mTime.after(mPlan.maxQueryWait, [this, aCall, round] {
+      handleMessage([this, aCall, round] { finishQueries(aCall, round); });
+    });
+  }
+  for (const auto& it : stale) {
+    const auto upstream = std::stoul(it.name);
+    handleMessage([this, aCall, round, upstream, sentAt = mTime.now()] {
+      mTime.after(takeConnection(upstream), [=, this] {
+        const auto report = mUpstreams[upstream]->report();
+        mTime.after(oneWayTo(upstream), [=, this] {
+          handleMessage([=, this] { onReply(aCall, round, upstream, report, sentAt); });
+        });
+      });
     });
-  });
+  }
+}
+
+void
+ModelEntry::onReply(std::uint64_t aCall,
+                    int aRound,
+                    std::size_t aUpstream,
+                    LoadReport aReport,
+                    Instant aSentAt)
+{
+  const auto& address = mAddresses[aUpstream];
+  returnConnection(aUpstream);
+  if (mPlan.knowsDistance && address.dataCentre != mLocality.dataCentre &&
+      !mPool.hasReport(address)) {
+    mLocality.replyTimes.record(address.dataCentre, mTime.now() - aSentAt);
+  }
+  aReport.receivedAt = mTime.now();
+  mPool.reportLoad(address.name, aReport);
+  const auto it = mCalls.find(aCall);
+  if (it != mCalls.end() && it->second.queryRounds == aRound + 1 &&
+      --it->second.pendingQueries == 0) {
+    finishQueries(aCall, aRound);
+  }
+}
+
+void
+ModelEntry::finishQueries(std::uint64_t aCall, int aRound)
+{
+  const auto it = mCalls.find(aCall);
+  if (it != mCalls.end() && it->second.queryRounds == aRound + 1) {
+    queryLoads(aCall);
+  }
 }
 
 void
@@ -130,11 +172,88 @@
   const auto upstream = std::stoul(chosen->address.name);
   call.excluded.push_back(chosen->address.name);
   ++mResult.sent;
-  mTime.after(kOneWay, [this, aCall, upstream, work = call.work, sentAt = mTime.now()] {
+  recordChoice(upstream, chosen->load, call.work);
+  const auto run = [this, aCall, upstream, work = call.work, sentAt = mTime.now()] {
+    if (mPlan.hangsWhenFull && mUpstreams[upstream]->isFull()) {
+      ++mResult.hung;
+      mTime.after(mCalls[aCall].request.deadline - mTime.now(),
+                  [=, this] { onSilence(aCall, upstream, sentAt); });
+      return;
+    }
     mUpstreams[upstream]->run(work, [=, this](bool aHasRun) {
-      mTime.after(kOneWay, [=, this] { onEnd(aCall, upstream, sentAt, aHasRun); });
+      mTime.after(oneWayTo(upstream), [=, this] {
+        handleMessage([=, this] {
+          returnConnection(upstream);
+          onEnd(aCall, upstream, sentAt, aHasRun);
+        });
+      });
     });
-  });
+  };
+  handleMessage([=, this] { mTime.after(takeConnection(upstream), run); });
+}
+
+void
+ModelEntry::recordChoice(std::size_t aUpstream, const LoadReport& aReport, double aWork)
+{
+  const auto age = mTime.now() - aReport.receivedAt;
+  mResult.freshChoices += age <= kMaxReportAge ? 1 : 0;
+  mResult.reportAge += std::min(1.0, std::chrono::duration<double>(age).count());
+  mResult.remoteChoices +=
+    mAddresses[aUpstream].dataCentre == mLocality.dataCentre ? 0 : 1;
+  auto best = mUpstreams[aUpstream]->timeOf(aWork);
+  const auto chosen = best;
+  for (const auto& it : mUpstreams) {
+    best = std::min(best, it->timeOf(aWork));
+  }
+  mResult.regret += chosen - best;
+}
+
+Duration
+ModelEntry::oneWayTo(std::size_t aUpstream) const
+{
+  const auto& address = mAddresses[aUpstream];
+  if (address.region != mLocality.region) {
+    return mPlan.otherRegionOneWay;
+  }
+  return address.dataCentre == mLocality.dataCentre ? mPlan.oneWay
+                                                    : mPlan.otherDataCentreOneWay;
+}
+
+Duration
+ModelEntry::takeConnection(std::size_t aUpstream)
+{
+  const auto oneWay = oneWayTo(aUpstream);
+  if (mPlan.idleClose == Duration{ 0 }) {
+    return oneWay;
+  }
+  auto& connections = mConnections[aUpstream];
+  if (mTime.now() - connections.lastUsed > mPlan.idleClose) {
+    connections.idle = 0;
+  }
+  if (connections.idle > 0) {
+    --connections.idle;
+    return oneWay;
+  }
+  ++mResult.connections;
+  return kHandshake + 3 * oneWay;
+}
+
+void
+ModelEntry::returnConnection(std::size_t aUpstream)
+{
+  ++mConnections[aUpstream].idle;
+  mConnections[aUpstream].lastUsed = mTime.now();
+}
+
+void
+ModelEntry::handleMessage(std::function<void()> aTask)
+{
+  if (mPlan.messageTime == Duration{ 0 }) {
+    aTask();
+    return;
+  }
+  mProcessorFreeAt = std::max(mProcessorFreeAt, mTime.now()) + mPlan.messageTime;
+  mTime.after(mProcessorFreeAt - mTime.now(), std::move(aTask));
 }
 
 void
@@ -168,6 +287,16 @@
   release();
 }
 
+void
+ModelEntry::onSilence(std::uint64_t aCall, std::size_t aUpstream, Instant aSentAt)
+{
+  const auto now = mTime.now();
+  mPool.recordAttemptEnd(
+    mAddresses[aUpstream].name, AttemptOutcome::Failed, now - aSentAt, now);
+  mCalls.erase(aCall);
+  release();
+}
+
 void
 ModelEntry::refuse(std::uint64_t aCall)
 {
@@ -185,7 +314,7 @@
     mCalls.erase(it.call);
   }
   for (const auto& it : release.started) {
-    queryLoads(it.call);
+    start(it.call);
   }
 }
 
--- a/tests/model/ModelUpstream.cpp
+++ b/tests/model/ModelUpstream.cpp
@@ -24,8 +24,7 @@
 void
 ModelUpstream::run(double aWork, Done aDone)
 {
-  if (mRunning.size() >= static_cast<std::size_t>(mPlan.slots) &&
-      mQueued.size() >= static_cast<std::size_t>(mPlan.queueLength)) {
+  if (isFull()) {
     aDone(false);
     return;
   }
@@ -47,6 +46,23 @@
   return load;
 }
 
+bool
+ModelUpstream::isFull() const
+{
+  return mRunning.size() >= static_cast<std::size_t>(mPlan.slots) &&
+         mQueued.size() >= static_cast<std::size_t>(mPlan.queueLength);
+}
+
+double
+ModelUpstream::timeOf(double aWork) const
+{
+  const auto load =
+    static_cast<double>(mRunning.size() + mQueued.size() + 1) / mPlan.slots;
+  const auto time = aWork * (mIsSlow ? mPlan.slowFactor : 1.0) *
+                    (load > mPlan.highLoad ? mPlan.highLoadFactor : 1.0);
+  return time * std::max(1.0, load);
+}
+
 void
 ModelUpstream::scheduleSpeedChange()
 {
--- a/tests/model/ModelUpstream.h
+++ b/tests/model/ModelUpstream.h
@@ -24,6 +24,11 @@
 
   LoadReport report() const;
 
+  /** The time that a call of `aWork` seconds would take if nothing changed. */
+  double timeOf(double aWork) const;
+
+  bool isFull() const;
+
 private:
   struct Call
   {
