--- a/libs/entry/src/MembershipUpdate.cpp
+++ b/libs/entry/src/MembershipUpdate.cpp
@@ -1,6 +1,5 @@
 #include "MembershipUpdate.h"
 #include <algorithm>
-#include <cmath>
 
 namespace masticwall {
 
@@ -68,14 +67,14 @@
     const auto localSlots = aTables.upstreams.slotsIn(it.name, region);
     // With a whole region evacuated, the upstreams of the others serve its calls.
     const bool servesElsewhere = localSlots == 0 && !evacuated.empty();
-    const auto inFlightLimit =
-      servesElsewhere ? preset->limits.overcommit *
-                          aTables.upstreams.slotsIn(it.name, {}) / aTables.entryCount
-                      : preset->limits.overcommit * localSlots / entries;
-    aTables.admission.configure(it.name,
-                                preset->ranks,
-                                static_cast<int>(std::ceil(inFlightLimit)),
-                                preset->limits.maxQueueLength);
+    const auto limit =
+      servesElsewhere
+        ? InFlightLimit::of(preset->limits.overcommit,
+                            aTables.upstreams.slotsIn(it.name, {}),
+                            aTables.entryCount)
+        : InFlightLimit::of(preset->limits.overcommit, localSlots, entries);
+    aTables.admission.configure(
+      it.name, preset->ranks, limit, preset->limits.maxQueueLength);
   }
 }
 
