Show on a real gateway that large bodies together don't take its memory

Cause: the bound on bodies was shown on a listener only. Change: ResourcesTest: 60 callers with bodies of 1 MB each at a gateway with 160 MB; 20 find room, 40 get 503 with Retry-After, a lookup is served, and the room is there again when the callers have gone.

--- a/tests/integration/ResourcesTest.cpp
+++ b/tests/integration/ResourcesTest.cpp
@@ -125,3 +125,43 @@
   CHECK(system.gateway(0).isRunning());
   CHECK(peakMemoryKb(system.gateway(0).pid()) < kMaxPeakKb);
 }
+
+TEST_CASE("callers whose bodies are large together don't take a gateway's memory")
+{
+  constexpr int kMemoryMb = 160;
+  constexpr int kCallers = 60;
+  constexpr qint64 kBodyBytes = 1'000'000; // the stand-in takes no more
+  constexpr qint64 kUnsentBytes = 100;
+  GatewaySystem system(1, 1);
+  system.setLimits(4100, kMemoryMb);
+  system.setMaxBodyBytes(kMaxBodyBytes);
+  REQUIRE(system.start());
+  const auto head = "POST /order/1 HTTP/1.1\r\nHost: a.example\r\n"
+                    "Masticwall-Request-Id: large\r\nContent-Length: " +
+                    QByteArray::number(kBodyBytes) + "\r\n\r\n";
+  auto callers = connectCallers(system, kCallers);
+  for (const auto& it : callers) {
+    it->send(head + QByteArray(kBodyBytes - kUnsentBytes, 'b'));
+  }
+  // An eighth of 160 MiB has room for twenty, until their time to send is over.
+  int refused = 0;
+  CHECK(waitUntil([&] {
+    for (auto& it : callers) {
+      const auto answer = it == nullptr ? std::nullopt : it->receive(1);
+      if (answer.has_value() && answer->status == 503) {
+        ++refused;
+        CHECK_FALSE(http::findHeader(answer->headers, "Retry-After").empty());
+        it.reset();
+      }
+    }
+    return refused == kCallers - 20;
+  }));
+  CHECK(statusOf(system.call(0, "GET", "/read/1", "small")) == 200);
+  CHECK(peakMemoryKb(system.gateway(0).pid()) < kMaxPeakKb);
+  callers.clear();
+  CHECK(waitUntil([&] {
+    TestCaller next(system.gatewayHost(0), GatewaySystem::kFrontPort);
+    next.send(head + QByteArray(kBodyBytes, 'b'));
+    return statusOf(next.receive(5000)) == 200;
+  }));
+}
