--- a/tests/harness/GatewaySystem.cpp
+++ b/tests/harness/GatewaySystem.cpp
@@ -122,16 +122,17 @@
 GatewaySystem::writeConfig(int aVersion)
 {
   const auto version = std::to_string(aVersion);
-  const auto row = [](const std::string& aPath, const std::string& aKind) {
+  const auto row = [this](const std::string& aPath, const std::string& aKind) {
+    const auto regions = aPath == "/read/" ? mReadRegions : "null";
     return R"(["r)" + aPath + R"(","a.example",")" + aPath + R"(",")" + aKind +
-           R"(","2s","200ms",1,"lookup",2])";
+           R"(","2s","200ms",1,"lookup",2,)" + regions + "]";
   };
   writeRecord(
     "keyed.op",
     "config",
     R"({"version":)" + version +
       R"(,"routes":{"columns":["name","host","path-prefix","kind","timeout",)" +
-      R"("target-latency","priority","service","attempts"],"rows":[)" +
+      R"("target-latency","priority","service","attempts","allowed-regions"],"rows":[)" +
       row("/read/", "safe") + ',' + row("/order/", "unsafe") + ',' +
       row("/v" + version + '/', "safe") +
       R"(]},"services":{"columns":["name","health-path","max-connections"],)" +
@@ -148,14 +149,21 @@
 {
   const auto address = host(kFirstUpstream + aIndex).toString().toStdString() + ':' +
                        std::to_string(kUpstreamPort);
+  const auto zone = mZones.count(aIndex) > 0 ? mZones[aIndex] : "recife";
   const auto value =
     R"({"address":")" + address + R"(","born":)" + std::to_string(aStartedMs) +
-    R"(,"info":{"service":"lookup","version":"v1",)" +
-    R"("zone":"recife","concurrency-limit":4},"status":{"state":")" + aState +
-    R"(","sequence":)" + std::to_string(aSequence) + R"(,"warmup-left":"0ms"}})";
+    R"(,"info":{"service":"lookup","version":"v1","zone":")" + zone +
+    R"(","concurrency-limit":4},"status":{"state":")" + aState + R"(","sequence":)" +
+    std::to_string(aSequence) + R"(,"warmup-left":"0ms"}})";
   writeRecord("keyed.servers", upstreamName(aIndex), aState.empty() ? "" : value);
 }
 
+void
+GatewaySystem::evacuate(const std::string& aZone, bool aIsEvacuated)
+{
+  writeRecord("keyed.op", "evacuate/" + aZone, aIsEvacuated ? "{}" : "");
+}
+
 void
 GatewaySystem::writeRecord(const std::string& aTopic,
                            const std::string& aKey,
@@ -327,6 +335,7 @@
                             "[network]\nseeds = [\"%4:%6\"]\n[network.listen]\n"
                             "front = \"%2:%5\"\nready = \"%2:%7\"\ncontrol = \"%2:%6\"\n"
                             "[network.zones]\nrecife = \"litoral\"\n"
+                            "natal = \"litoral\"\npetrolina = \"sertao\"\n"
                             "[platform.platform]\naddress = \"%3:%8\"\n"
                             "[terms.bounds]\ngrace = \"6s\"\n"
                             "retry-budget-ratio = %9\n")
--- a/tests/harness/GatewaySystem.h
+++ b/tests/harness/GatewaySystem.h
@@ -5,6 +5,7 @@
 #include "TestCaller.h"
 #include <QTemporaryDir>
 #include <core/Bytes.h>
+#include <map>
 #include <memory>
 #include <vector>
 
@@ -63,6 +64,17 @@
                     const std::string& aState,
                     qint64 aStartedMs = 1'700'000'000'000,
                     int aSequence = 1);
+  /** The zone with which an upstream is listed from now on: "recife" unless set, "natal",
+   * both in the gateways' region "litoral", or "petrolina" in "sertao". */
+  void placeUpstream(int aIndex, const std::string& aZone) { mZones[aIndex] = aZone; }
+
+  /** Evacuates a zone, or takes that back. */
+  void evacuate(const std::string& aZone, bool aIsEvacuated = true);
+
+  /** The `allowed-regions` of "/read/", as JSON; in the configurations that are written
+   * from now on. */
+  void allowReadsIn(const std::string& aRegions) { mReadRegions = aRegions; }
+
   void writeRecord(const std::string& aTopic,
                    const std::string& aKey,
                    const std::string& aValue);
@@ -124,6 +136,8 @@
   int mNet;
   bool mWritesThroughOutages = false;
   qint64 mMaxBodyBytes = kMiB;
+  std::string mReadRegions = "null";
+  std::map<int, std::string> mZones; ///< by upstream
   int mMaxFds = 4100;
   int mMemoryMb = 260;
   QTemporaryDir mDirectory;
