--- a/tests/harness/GatewaySystem.cpp
+++ b/tests/harness/GatewaySystem.cpp
@@ -131,10 +131,11 @@
 {
   const auto version = std::to_string(aVersion);
   const bool hasTenants = !mTenants.empty();
-  const auto row = [hasTenants](const std::string& aPath, const std::string& aKind) {
+  const auto row = [&](const std::string& aPath, const std::string& aKind) {
+    const auto regions = aPath == "/read/" ? mReadRegions : "null";
     const bool isPublic = aPath == "/open/";
     return R"(["r)" + aPath + R"(","a.example",")" + aPath + R"(",")" + aKind +
-           R"(","2s","200ms",1,"lookup",2)" +
+           R"(","2s","200ms",1,"lookup",2,)" + regions +
            (hasTenants ? (isPublic ? ",true]" : ",false]") : "]");
   };
   const std::string tenants =
@@ -147,7 +148,7 @@
     "config",
     R"({"version":)" + version +
       R"(,"routes":{"columns":["name","host","path-prefix","kind","timeout",)" +
-      R"("target-latency","priority","service","attempts")" +
+      R"("target-latency","priority","service","attempts","allowed-regions")" +
       (hasTenants ? R"(,"public"],"rows":[)" + row("/open/", "safe") + ','
                   : R"(],"rows":[)") +
       row("/read/", "safe") + ',' + row("/order/", "unsafe") + ',' +
@@ -166,14 +167,21 @@
 {
   const auto address = host(kFirstUpstream + aIndex).toString().toStdString() + ':' +
                        std::to_string(kUpstreamPort);
+  const auto zone = mZones.count(aIndex) > 0 ? mZones[aIndex] : "recife";
   const auto value =
     R"({"address":")" + address + R"(","born":)" + std::to_string(aStartedMs) +
-    R"(,"info":{"service":"lookup","version":"v1",)" +
-    R"("zone":"recife","concurrency-limit":4},"status":{"state":")" + aState +
-    R"(","sequence":)" + std::to_string(aSequence) + R"(,"warmup-left":"0ms"}})";
+    R"(,"info":{"service":"lookup","version":"v1","zone":")" + zone +
+    R"(","concurrency-limit":4},"status":{"state":")" + aState + R"(","sequence":)" +
+    std::to_string(aSequence) + R"(,"warmup-left":"0ms"}})";
   writeRecord("keyed.servers", upstreamName(aIndex), aState.empty() ? "" : value);
 }
 
+void
+GatewaySystem::evacuate(const std::string& aZone, bool aIsEvacuated)
+{
+  writeRecord("keyed.op", "evacuate/" + aZone, aIsEvacuated ? "{}" : "");
+}
+
 void
 GatewaySystem::writeRecord(const std::string& aTopic,
                            const std::string& aKey,
@@ -360,6 +368,7 @@
                             "[network]\nseeds = [\"%4:%6\"]\n[network.listen]\n"
                             "front = \"%2:%5\"\nready = \"%2:%7\"\ncontrol = \"%2:%6\"\n"
                             "[network.zones]\nrecife = \"litoral\"\n"
+                            "natal = \"litoral\"\npetrolina = \"sertao\"\n"
                             "[platform.platform]\naddress = \"%3:%8\"\n"
                             "[terms.bounds]\ngrace = \"6s\"\n"
                             "retry-budget-ratio = %9\n"
