Keep failed attempts out of the estimate that refuses calls, and send a trial beyond it

Cause: the time of failed attempts went into the mean latency from which the typical processing time is taken. Change: each upstream has two means: of answers alone, for the typical processing time, and with failed attempts, for being slow relative to the others, as before. Without failures both are the same as the one before. OverloadTrials: if no upstream is within a call's limit for a second, while this process has no call in flight to the service, one call goes to an idle upstream; the next after 2, 4, then every 8 seconds. Its answer caps the means of answers. Upstreams that report no free slot get none, so that a flood brings no trials. Result: OverloadTrialsTest, 8 cases: 5 fail on the code before, none now; UpstreamPoolTest, 11 cases, passes.

--- a/libs/decide/include/decide/UpstreamPool.h
+++ b/libs/decide/include/decide/UpstreamPool.h
@@ -12,6 +12,7 @@
 #include <decide/LeavingInstances.h>
 #include <decide/LoadBalancingPolicy.h>
 #include <decide/LoadQueryScope.h>
+#include <decide/OverloadTrials.h>
 #include <decide/PermitCandidate.h>
 #include <decide/RequestLimits.h>
 #include <decide/ScoredUpstream.h>
@@ -61,7 +62,8 @@
 
   /**
    * Selects the eligible upstream, in any region, with the lowest estimated latency
-   * within `aLimit` and counts a call in flight to it; null if there is none.
+   * within `aLimit`, or now and then an idle one for a trial beyond it, and counts a call
+   * in flight to it; null if there is none. See OverloadTrials.
    */
   template<RandomSource R>
   const UpstreamState* chooseLowestLatency(const Locality& aLocality,
@@ -73,13 +75,18 @@
     UpstreamState* best = nullptr;
     auto bestScore = std::numeric_limits<double>::max();
     const auto candidates = finder().find({}, aFilter, aNow);
-    for (const auto& it :
-         scoreCandidates(candidates, estimator(aLocality), aNow, aRandom)) {
+    const auto scored = scoreCandidates(candidates, estimator(aLocality), aNow, aRandom);
+    for (const auto& it : scored) {
       if (it.score < bestScore && isWithin(it.estimate, aLimit)) {
         best = it.state;
         bestScore = it.score;
       }
     }
+    if (best != nullptr) {
+      mOverloadTrials.onSent();
+    } else if (aLimit.maxTotal > Duration{ 0 }) {
+      best = tryStartTrial(scored, aNow);
+    }
     if (best != nullptr) {
       startCall(*best, aNow);
     }
@@ -297,6 +304,12 @@
     return chooseRandom(aCandidates, aRandom);
   }
 
+  bool hasCallInFlight() const;
+
+  /** The upstream that a call is sent to beyond its limit; null if it is to be refused.
+   */
+  UpstreamState* tryStartTrial(const std::vector<ScoredUpstream>& aScored, Instant aNow);
+
   /** Counts a call in flight, and takes a permit if one is needed. */
   void startCall(UpstreamState& aState, Instant aNow);
 
@@ -305,6 +318,7 @@
 
   UpstreamStates mStates;
   SlowUpstreams mSlowUpstreams;
+  OverloadTrials mOverloadTrials;
   LeavingInstances mLeavingInstances;
   HoldOffs mHoldOffs;
   RequestLimits mRequestLimits;
--- a/libs/decide/include/decide/UpstreamState.h
+++ b/libs/decide/include/decide/UpstreamState.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <decide/LoadReport.h>
+#include <decide/MeanLatency.h>
 #include <decide/PermitStock.h>
 #include <decide/RequestLimit.h>
 #include <decide/UpstreamAddress.h>
@@ -16,8 +17,9 @@
   int inFlight = 0;          ///< calls from this process
   LoadReport load;           ///< the last one received
   double meanLoad = 0.0;     ///< moving average of reported calls per slot
-  Duration meanLatency{ 0 }; ///< moving average
-  int latencySamples = 0;    ///< samples in `meanLatency`
+  MeanLatency latency;       ///< of answered and failed attempts; says whether it is slow
+  MeanLatency answerLatency; ///< of answered ones alone
+  bool isOnTrial = false;    ///< a call was sent beyond its limit; see OverloadTrials
   Instant nextTrialAt;       ///< no call before then while it is slow; see UpstreamPool
   int failuresInARow = 0; ///< of attempts (5xx too) and load queries; reset by Answered
   Instant backOffUntil;   ///< used until then only if no other is eligible; set after
--- a/libs/decide/src/SlowUpstreams.cpp
+++ b/libs/decide/src/SlowUpstreams.cpp
@@ -20,28 +20,79 @@
 /** A slow upstream gets one call per period from this process, to detect its recovery. */
 constexpr Duration kTrialPeriod = std::chrono::seconds(2);
 
+void
+addSample(MeanLatency& aMean, Duration aLatency, bool aReplaces)
+{
+  if (aReplaces || aMean.samples == 0) {
+    aMean.mean = aLatency;
+  } else {
+    aMean.mean += (aLatency - aMean.mean) / kLatencyWeightDivisor;
+  }
+  ++aMean.samples;
+}
+
+/** Of the upstreams' means; 0 if too few have samples. */
+Duration
+medianOf(const UpstreamStates& aStates, MeanLatency UpstreamState::*aMean)
+{
+  std::vector<Duration> means;
+  for (const auto& it : aStates) {
+    const auto& mean = (*it).*aMean;
+    if (mean.samples >= kMinLatencySamples) {
+      means.push_back(mean.mean);
+    }
+  }
+  if (means.size() < kMinUpstreamsForMedian) {
+    return Duration{ 0 };
+  }
+  const auto middle = means.begin() + static_cast<std::ptrdiff_t>(means.size() / 2);
+  std::nth_element(means.begin(), middle, means.end());
+  return *middle;
+}
+
 } // namespace
 
+SlowUpstreams::SlowUpstreams()
+  : mDefaultProcessingTime(kDefaultProcessingTime)
+{
+}
+
 void
-SlowUpstreams::recordLatency(UpstreamState& aState,
+SlowUpstreams::recordAnswer(UpstreamState& aState,
+                            Duration aLatency,
+                            const UpstreamStates& aStates)
+{
+  const bool hasRecovered = isSlow(aState) && aLatency <= kSlowFactor * mMedianLatency;
+  addSample(aState.latency, aLatency, hasRecovered);
+  addSample(aState.answerLatency, aLatency, hasRecovered);
+  updateMedians(aStates);
+}
+
+void
+SlowUpstreams::recordFailure(UpstreamState& aState,
                              Duration aLatency,
                              const UpstreamStates& aStates)
 {
-  const bool hasRecovered = isSlow(aState) && aLatency <= kSlowFactor * mMedianLatency;
-  if (hasRecovered || aState.latencySamples == 0) {
-    aState.meanLatency = aLatency;
-  } else {
-    aState.meanLatency += (aLatency - aState.meanLatency) / kLatencyWeightDivisor;
+  // A fast failure must not lower the mean latency.
+  addSample(aState.latency, std::max(aLatency, aState.latency.mean), false);
+  updateMedians(aStates);
+}
+
+void
+SlowUpstreams::recordTrialAnswer(Duration aLatency, const UpstreamStates& aStates)
+{
+  mDefaultProcessingTime = std::min(mDefaultProcessingTime, aLatency);
+  for (const auto& it : aStates) {
+    it->answerLatency.mean = std::min(it->answerLatency.mean, aLatency);
   }
-  ++aState.latencySamples;
-  updateMedianLatency(aStates);
+  updateMedians(aStates);
 }
 
 bool
 SlowUpstreams::isSlow(const UpstreamState& aState) const
 {
-  return aState.latencySamples >= kMinLatencySamples && mMedianLatency > Duration{ 0 } &&
-         aState.meanLatency > kSlowFactor * mMedianLatency;
+  return aState.latency.samples >= kMinLatencySamples && mMedianLatency > Duration{ 0 } &&
+         aState.latency.mean > kSlowFactor * mMedianLatency;
 }
 
 bool
@@ -61,25 +112,15 @@
 Duration
 SlowUpstreams::typicalProcessingTime() const
 {
-  return mMedianLatency > Duration{ 0 } ? mMedianLatency : kDefaultProcessingTime;
+  return mMedianAnswerLatency > Duration{ 0 } ? mMedianAnswerLatency
+                                              : mDefaultProcessingTime;
 }
 
 void
-SlowUpstreams::updateMedianLatency(const UpstreamStates& aStates)
+SlowUpstreams::updateMedians(const UpstreamStates& aStates)
 {
-  std::vector<Duration> means;
-  for (const auto& it : aStates) {
-    if (it->latencySamples >= kMinLatencySamples) {
-      means.push_back(it->meanLatency);
-    }
-  }
-  if (means.size() < kMinUpstreamsForMedian) {
-    mMedianLatency = Duration{ 0 };
-    return;
-  }
-  const auto middle = means.begin() + static_cast<std::ptrdiff_t>(means.size() / 2);
-  std::nth_element(means.begin(), middle, means.end());
-  mMedianLatency = *middle;
+  mMedianLatency = medianOf(aStates, &UpstreamState::latency);
+  mMedianAnswerLatency = medianOf(aStates, &UpstreamState::answerLatency);
 }
 
 } // namespace masticwall
--- a/libs/decide/src/UpstreamPool.cpp
+++ b/libs/decide/src/UpstreamPool.cpp
@@ -13,6 +13,9 @@
 /** Weight of a new sample in the moving average of the reported processing times. */
 constexpr double kProcessingTimePercentWeight = 1.0 / 32.0;
 
+/** An older load report does not tell whether an upstream has a slot free. */
+constexpr Duration kMaxReportAgeForTrial = std::chrono::seconds(1);
+
 } // namespace
 
 void
@@ -59,10 +62,14 @@
     return;
   }
   state->inFlight = std::max(0, state->inFlight - 1);
+  const bool isTrial = std::exchange(state->isOnTrial, false);
   switch (aOutcome) {
     case AttemptOutcome::Answered:
       FailureBackOff::onAnswered(*state);
-      mSlowUpstreams.recordLatency(*state, aLatency, mStates);
+      mSlowUpstreams.recordAnswer(*state, aLatency, mStates);
+      if (isTrial) {
+        mSlowUpstreams.recordTrialAnswer(aLatency, mStates);
+      }
       return;
     case AttemptOutcome::ErrorResponse:
       // The latency is not recorded: errors are often fast and don't show the normal
@@ -73,9 +80,7 @@
       FailureBackOff::onShed(*state, aNow);
       return;
     case AttemptOutcome::Failed:
-      // A fast failure must not lower the mean latency.
-      mSlowUpstreams.recordLatency(
-        *state, std::max(aLatency, state->meanLatency), mStates);
+      mSlowUpstreams.recordFailure(*state, aLatency, mStates);
       FailureBackOff::onFailure(*state, aNow);
       return;
     case AttemptOutcome::Cancelled:
@@ -204,6 +209,35 @@
   return states;
 }
 
+bool
+UpstreamPool::hasCallInFlight() const
+{
+  return std::any_of(mStates.begin(), mStates.end(), [](const auto& aState) {
+    return aState->inFlight > 0;
+  });
+}
+
+UpstreamState*
+UpstreamPool::tryStartTrial(const std::vector<ScoredUpstream>& aScored, Instant aNow)
+{
+  const auto isReported = [aNow](const ScoredUpstream& aIt) {
+    return aNow - aIt.state->load.receivedAt <= kMaxReportAgeForTrial;
+  };
+  const bool isBlind = std::none_of(aScored.begin(), aScored.end(), isReported);
+  const ScoredUpstream* best = nullptr;
+  for (const auto& it : aScored) {
+    const bool isIdle = isBlind || (isReported(it) && it.estimate.queueing <= 0.0);
+    if (isIdle && (best == nullptr || it.score < best->score)) {
+      best = &it;
+    }
+  }
+  if (best == nullptr || hasCallInFlight() || !mOverloadTrials.tryStart(aNow)) {
+    return nullptr;
+  }
+  best->state->isOnTrial = true;
+  return best->state;
+}
+
 void
 UpstreamPool::startCall(UpstreamState& aState, Instant aNow)
 {
