Limit the requests to cold upstreams by permits, over all VMs

Change: ColdUpstreams says which instances are cold, by the list and by health responses (`Masticwall-Warmup-Remaining`); UpstreamState::limitAt() is the lower one of the stated limit and the one of the warm-up, and the permits that carry Server-Limit carry it. WarmUpPolicy issues what two issuers at once may issue within the bound. Load queries go on; services without a rate keep no state and send nothing more. While a service has a rate, upstreams are asked for their health every 250 ms where they get calls, as answers to calls don't tell of a warm-up.

--- a/libs/decide/include/decide/CandidateFinder.h
+++ b/libs/decide/include/decide/CandidateFinder.h
@@ -25,6 +25,10 @@
                                    const CandidateFilter& aFilter,
                                    Instant aNow) const;
 
+  /** Likewise, and the cold ones without a permit, which take load queries. */
+  std::vector<UpstreamState*> findForLoadQueries(const CandidateFilter& aFilter,
+                                                 Instant aNow) const;
+
   /** The upstreams for which permits may be requested; otherwise eligible. */
   std::vector<UpstreamState*> findLimited(Rank aRank,
                                           const CandidateFilter& aFilter,
--- a/libs/decide/include/decide/PermitCandidate.h
+++ b/libs/decide/include/decide/PermitCandidate.h
@@ -12,6 +12,8 @@
   RequestLimit limit;
   /** Another upstream could take the call without a permit, and has a slot free. */
   bool hasAlternative = false;
+  /** The limit is the one of a warm-up, beyond which nothing may be issued. */
+  bool isCold = false;
 };
 
 } // namespace masticwall
--- a/libs/decide/include/decide/PermitIssuer.h
+++ b/libs/decide/include/decide/PermitIssuer.h
@@ -25,6 +25,10 @@
   /** `aPart` of the limit is issued: 1, or kPartWithoutContact. */
   PermitGrant issue(const PermitRequest& aRequest, double aPart, Instant aNow);
 
+  /** The limit for which an issuer issues up to `aBound` permits in any second, without
+   * calls of last resort. May be negative. */
+  static double rateForBound(double aBound);
+
   /** Forgets upstreams for which no permit was requested lately. */
   void removeUnused(Instant aNow);
 
--- a/libs/decide/include/decide/PermitStock.h
+++ b/libs/decide/include/decide/PermitStock.h
@@ -18,6 +18,9 @@
    * that less urgent calls need not ask before the time that the grant names. */
   void add(const PermitGrant& aGrant, Rank aRank, Instant aNow);
 
+  /** No permits are to be requested before `aUntil`. */
+  void postponeRequests(Instant aUntil);
+
   bool isEmpty(Instant aNow) const { return mPermits == 0 || mExpiresAt <= aNow; }
 
   /** Takes one permit; false if there is none. */
--- a/libs/decide/include/decide/RequestLimit.h
+++ b/libs/decide/include/decide/RequestLimit.h
@@ -8,7 +8,8 @@
 struct RequestLimit
 {
   double perSecond = 0.0; ///< as it stated, not negative
-  Instant statedAt;       ///< when this VM received the last response with this limit
+  Instant statedAt;       ///< when this VM received the last response with this limit; of
+                          ///< a warm-up: now
 };
 
 } // namespace masticwall
--- a/libs/decide/include/decide/UpstreamPool.h
+++ b/libs/decide/include/decide/UpstreamPool.h
@@ -5,6 +5,7 @@
 #include <decide/AttemptOutcome.h>
 #include <decide/CandidateFinder.h>
 #include <decide/CandidateSelection.h>
+#include <decide/ColdUpstreams.h>
 #include <decide/EstimatedLatency.h>
 #include <decide/FewestInFlight.h>
 #include <decide/HoldOffs.h>
@@ -20,6 +21,7 @@
 #include <decide/SlotShare.h>
 #include <limits>
 #include <string_view>
+#include <utility>
 
 namespace masticwall {
 
@@ -39,6 +41,12 @@
    */
   void update(const std::vector<UpstreamAddress>& aAddresses, int aSlots, Instant aNow);
 
+  /** Sets how cold upstreams are limited, from the next update() on. */
+  void configureWarmUp(const WarmUpPolicy& aPolicy) { mColdUpstreams.configure(aPolicy); }
+
+  /** The instances that update() has found to be cold since the last call. */
+  std::vector<UpstreamAddress> takeNewlyCold() { return std::exchange(mNewlyCold, {}); }
+
   /**
    * Selects an eligible upstream (see CandidateFinder) in `aRegion` (empty: in any) by
    * `aPolicy` and counts a call in flight to it; null if there is none. EstimatedLatency
@@ -102,7 +110,10 @@
   /**
    * Of the eligible upstreams with the lowest estimated latency, as many as `aScope`
    * says, those whose load report is older than `aMaxReportAge`. A load query counts as a
-   * request, so those with a request limit are left out.
+   * request, so those that state a request limit are left out. Of the cold ones without a
+   * permit the best is asked beside the others, which shows when it is warm. As responses
+   * to calls don't tell that an upstream has become cold, those that may are asked again
+   * after a while; see ColdUpstreams::mustAskAgain().
    */
   template<RandomSource R>
   std::vector<UpstreamAddress> staleTopCandidates(const Locality& aLocality,
@@ -113,7 +124,7 @@
                                                   R& aRandom) const
   {
     auto ranked = scoreCandidates(
-      finder().find({}, aFilter, aNow), estimator(aLocality), aNow, aRandom);
+      finder().findForLoadQueries(aFilter, aNow), estimator(aLocality), aNow, aRandom);
     std::sort(ranked.begin(),
               ranked.end(),
               [](const ScoredUpstream& aLeft, const ScoredUpstream& aRight) {
@@ -122,14 +133,21 @@
     std::vector<UpstreamAddress> stale;
     std::size_t n = 0;
     int slots = 0;
+    bool hasCold = false;
     for (const auto& it : ranked) {
       if (n >= aScope.upstreams && slots >= aScope.slots) {
         break;
       }
-      ++n;
-      slots += it.state->slots;
+      const bool isWithoutPermit = !it.state->acceptsRequests(aNow);
+      if (isWithoutPermit && std::exchange(hasCold, true)) {
+        continue;
+      }
+      n += isWithoutPermit ? 0 : 1;
+      slots += isWithoutPermit ? 0 : it.state->slots;
       const bool isLimited = it.state->requestLimit.has_value();
-      if (!isLimited && aNow - it.state->load.receivedAt > aMaxReportAge) {
+      const bool isStale = aNow - it.state->load.receivedAt > aMaxReportAge ||
+                           mColdUpstreams.mustAskAgain(it.state->healthAt, aNow);
+      if (!isLimited && isStale) {
         stale.push_back(it.state->address);
       }
     }
@@ -149,7 +167,7 @@
                                                  Instant aNow,
                                                  R& aRandom) const
   {
-    if (mRequestLimits.isEmpty()) {
+    if (mRequestLimits.isEmpty() && mColdUpstreams.isEmpty()) {
       return std::nullopt;
     }
     const auto limited = finder().findLimited(aRank, aFilter, aNow);
@@ -176,7 +194,8 @@
     if (best == nullptr) {
       return std::nullopt;
     }
-    return PermitCandidate{ best->address, *best->requestLimit, hasAlternative };
+    const auto limit = *best->limitAt(aNow);
+    return PermitCandidate{ best->address, limit, hasAlternative, best->isCold(aNow) };
   }
 
   /** Adds the reply to a request for permits for this instance; see PermitStock::add().
@@ -238,6 +257,15 @@
                           Instant aSentAt,
                           Instant aNow);
 
+  /** Applies a health response of this instance, which states how long it is still cold,
+   * or nothing (zero); see ColdUpstreams::record(). */
+  LimitChange recordWarmUp(const UpstreamAddress& aUpstream,
+                           Duration aLeft,
+                           Instant aNow);
+
+  /** Whether this instance is listed and takes a load query; see UpstreamState. */
+  bool acceptsLoadQuery(const UpstreamAddress& aUpstream, Instant aNow) const;
+
   /** Whether this instance is listed and takes a request, with a permit or without. */
   bool acceptsRequest(const UpstreamAddress& aUpstream,
                       bool aHasPermit,
@@ -310,6 +338,12 @@
    */
   UpstreamState* tryStartTrial(const std::vector<ScoredUpstream>& aScored, Instant aNow);
 
+  /** `aWasRunning`: the instance was listed before, so that VMs may be calling it. */
+  void setColdUntil(UpstreamState& aState,
+                    Instant aUntil,
+                    bool aWasRunning,
+                    Instant aNow) const;
+
   /** Counts a call in flight, and takes a permit if one is needed. */
   void startCall(UpstreamState& aState, Instant aNow);
 
@@ -322,6 +356,8 @@
   LeavingInstances mLeavingInstances;
   HoldOffs mHoldOffs;
   RequestLimits mRequestLimits;
+  ColdUpstreams mColdUpstreams;
+  std::vector<UpstreamAddress> mNewlyCold;
   double mMeanProcessingTimePercent =
     100.0; ///< moving average of LoadReport::processingTimePercent
 };
--- a/libs/decide/include/decide/UpstreamState.h
+++ b/libs/decide/include/decide/UpstreamState.h
@@ -28,7 +28,10 @@
   Instant heldOffUntil;   ///< as it asked for with a refusal; see HoldOffs
   bool leaving = false;
   std::optional<RequestLimit> requestLimit; ///< empty: it takes any number
-  PermitStock permits; ///< of this process, for requests within `requestLimit`
+  double warmUpPerSecond = 0.0; ///< requests that it takes from all VMs while it is cold
+  Instant coldUntil;            ///< it is cold until then; see ColdUpstreams
+  Instant healthAt;             ///< of its last health response, if that counts for it
+  PermitStock permits;          ///< of this process, for requests within limitAt()
 
   /** False for an upstream that leaves or is held off: it gets no calls, trial calls or
    * load queries, even if no other is eligible. */
@@ -38,13 +41,33 @@
    * requests or a permit is left. */
   bool acceptsRequests(Instant aNow) const
   {
-    return isOpen(aNow) && (!requestLimit.has_value() || !permits.isEmpty(aNow));
+    return isOpen(aNow) && (!limitAt(aNow).has_value() || !permits.isEmpty(aNow));
+  }
+
+  /** Whether a load query may be sent now: it counts for the limit that the upstream
+   * states, and not for the one of its warm-up. */
+  bool acceptsLoadQueries(Instant aNow) const
+  {
+    return isOpen(aNow) && !requestLimit.has_value();
+  }
+
+  /** Whether it is cold, in a service that limits requests meanwhile. */
+  bool isCold(Instant aNow) const { return coldUntil > aNow; }
+
+  /** The lower one of the limits that the upstream states and of its warm-up. */
+  std::optional<RequestLimit> limitAt(Instant aNow) const
+  {
+    const bool isStatedLower =
+      requestLimit.has_value() && requestLimit->perSecond <= warmUpPerSecond;
+    return isStatedLower || !isCold(aNow)
+             ? requestLimit
+             : std::optional(RequestLimit{ warmUpPerSecond, aNow });
   }
 
   /** Whether requests wait for a permit, which may be requested now. */
   bool mayRequestPermit(Rank aRank, Instant aNow) const
   {
-    return isOpen(aNow) && requestLimit.has_value() && permits.isEmpty(aNow) &&
+    return isOpen(aNow) && limitAt(aNow).has_value() && permits.isEmpty(aNow) &&
            permits.nextRequestAt(aRank) <= aNow;
   }
 };
--- a/libs/decide/src/CandidateFinder.cpp
+++ b/libs/decide/src/CandidateFinder.cpp
@@ -19,6 +19,20 @@
   return available.empty() ? backingOff : available;
 }
 
+std::vector<UpstreamState*>
+CandidateFinder::findForLoadQueries(const CandidateFilter& aFilter, Instant aNow) const
+{
+  std::vector<UpstreamState*> available;
+  std::vector<UpstreamState*> backingOff;
+  for (const auto& it : states) {
+    const bool isOpen = it->acceptsRequests(aNow) || it->acceptsLoadQueries(aNow);
+    if (isOpen && hasRoom(*it, aFilter, aNow)) {
+      (it->backOffUntil > aNow ? backingOff : available).push_back(it.get());
+    }
+  }
+  return available.empty() ? backingOff : available;
+}
+
 std::vector<UpstreamState*>
 CandidateFinder::findLimited(Rank aRank,
                              const CandidateFilter& aFilter,
--- a/libs/decide/src/EstimatedLatency.cpp
+++ b/libs/decide/src/EstimatedLatency.cpp
@@ -66,7 +66,7 @@
     aState.load.processingTimePercent / meanProcessingTimePercent;
   auto processing = Seconds(typicalProcessingTime).count() *
                     (1.0 + processingTimeWeight * (relativeProcessingTime - 1.0));
-  processing *= aState.address.isWarmingUp ? kWarmUpSlowdown : 1.0;
+  processing *= aState.address.isWarmingUp || aState.isCold(aNow) ? kWarmUpSlowdown : 1.0;
   processing *= load > kHighLoadThreshold ? kHighLoadSlowdown : 1.0;
   // Up to one call per slot, no call has to queue.
   const auto queueing = std::max(0.0, load - 1.0) * processing;
--- a/libs/decide/src/PermitIssuer.cpp
+++ b/libs/decide/src/PermitIssuer.cpp
@@ -87,6 +87,12 @@
   return { 0, std::max(kMinRequestPeriod, std::chrono::duration_cast<Duration>(wait)) };
 }
 
+double
+PermitIssuer::rateForBound(double aBound)
+{
+  return std::min(aBound - kMinCapacity, aBound / (1.0 + kCreditPeriod.count()));
+}
+
 void
 PermitIssuer::removeUnused(Instant aNow)
 {
--- a/libs/decide/src/PermitStock.cpp
+++ b/libs/decide/src/PermitStock.cpp
@@ -22,6 +22,14 @@
   }
 }
 
+void
+PermitStock::postponeRequests(Instant aUntil)
+{
+  for (auto& it : mNextRequestAt) {
+    it = std::max(it, aUntil);
+  }
+}
+
 bool
 PermitStock::tryTake(Instant aNow)
 {
--- a/libs/decide/src/UpstreamPool.cpp
+++ b/libs/decide/src/UpstreamPool.cpp
@@ -16,6 +16,10 @@
 /** An older load report does not tell whether an upstream has a slot free. */
 constexpr Duration kMaxReportAgeForTrial = std::chrono::seconds(1);
 
+/** No permits are requested so soon after a running upstream has become cold: other VMs
+ * that don't know yet still send calls. */
+constexpr Duration kPauseAtWarmUp = std::chrono::milliseconds(500);
+
 } // namespace
 
 void
@@ -27,6 +31,8 @@
   mLeavingInstances.onListed(aAddresses, aNow);
   mHoldOffs.removeEnded(aNow);
   mRequestLimits.onListed(aAddresses, aNow);
+  const auto newlyCold = mColdUpstreams.onListed(aAddresses, aNow);
+  mNewlyCold.insert(mNewlyCold.end(), newlyCold.begin(), newlyCold.end());
   std::vector<std::unique_ptr<UpstreamState>> states;
   for (const auto& it : aAddresses) {
     const auto known =
@@ -46,6 +52,8 @@
     state->leaving = mLeavingInstances.contains(it);
     state->heldOffUntil = std::max(state->heldOffUntil, mHoldOffs.until(it));
     state->requestLimit = mRequestLimits.find(it);
+    const bool wasRunning = known != mStates.end();
+    setColdUntil(*state, mColdUpstreams.coldUntil(it), wasRunning, aNow);
     states.push_back(std::move(state));
   }
   mStates = std::move(states);
@@ -144,6 +152,37 @@
   return change;
 }
 
+LimitChange
+UpstreamPool::recordWarmUp(const UpstreamAddress& aUpstream, Duration aLeft, Instant aNow)
+{
+  const auto change = mColdUpstreams.record(aUpstream, aLeft, aNow);
+  if (auto* const state = findInstance(aUpstream)) {
+    state->healthAt = aNow;
+    setColdUntil(*state, mColdUpstreams.coldUntil(aUpstream), true, aNow);
+  }
+  return change;
+}
+
+void
+UpstreamPool::setColdUntil(UpstreamState& aState,
+                           Instant aUntil,
+                           bool aWasRunning,
+                           Instant aNow) const
+{
+  if (aWasRunning && !aState.isCold(aNow) && aUntil > aNow) {
+    aState.permits.postponeRequests(aNow + kPauseAtWarmUp);
+  }
+  aState.coldUntil = aUntil;
+  aState.warmUpPerSecond = mColdUpstreams.policy().perSecond;
+}
+
+bool
+UpstreamPool::acceptsLoadQuery(const UpstreamAddress& aUpstream, Instant aNow) const
+{
+  const auto* const state = findInstance(aUpstream);
+  return state != nullptr && state->acceptsLoadQueries(aNow);
+}
+
 bool
 UpstreamPool::acceptsRequest(const UpstreamAddress& aUpstream,
                              bool aHasPermit,
@@ -151,7 +190,7 @@
 {
   const auto* const state = findInstance(aUpstream);
   return state != nullptr && state->isOpen(aNow) &&
-         (aHasPermit || !state->requestLimit.has_value());
+         (aHasPermit || !state->limitAt(aNow).has_value());
 }
 
 ServiceAvailability
@@ -166,7 +205,7 @@
       continue;
     }
     auto nextAt = it->heldOffUntil;
-    if (it->requestLimit.has_value()) {
+    if (it->limitAt(aNow).has_value()) {
       availability.isLimited = true;
       nextAt = std::max(nextAt, it->permits.nextRequestAt(aRank));
     }
@@ -243,7 +282,7 @@
 {
   ++aState.inFlight;
   mSlowUpstreams.scheduleNextTrial(aState, aNow);
-  if (aState.requestLimit.has_value()) {
+  if (aState.limitAt(aNow).has_value()) {
     aState.permits.tryTake(aNow);
   }
 }
--- a/libs/entry/src/EntryWorker.h
+++ b/libs/entry/src/EntryWorker.h
@@ -136,6 +136,9 @@
                    const UpstreamReport& aReport,
                    ReportSource aSource,
                    Instant aSentAt);
+  void recordWarmUp(const UpstreamAddress& aUpstream,
+                    const UpstreamReport& aReport,
+                    ReportSource aSource);
   void markUpstreamLeaving(const UpstreamAddress& aUpstream, ReportSource aSource);
   void holdOffUpstream(const UpstreamAddress& aUpstream,
                        Duration aDuration,
--- a/libs/entry/src/EntryWorkerLoadQueries.cpp
+++ b/libs/entry/src/EntryWorkerLoadQueries.cpp
@@ -106,7 +106,7 @@
   exchange.connectTimeout = kLoadQueryTimeout;
   exchange.isMatchingResponse = mContext.dialect.isLoadQueryResponse;
   exchange.canStillSend = [this, aUpstream] {
-    return mTables.upstreams.acceptsRequest(aUpstream, false, mTimers.now());
+    return mTables.upstreams.acceptsLoadQuery(aUpstream, mTimers.now());
   };
   exchange.done = [this, query, aUpstream, sentAt = mTimers.now()](
                     const http::ExchangeResult& aResult) {
--- a/libs/entry/src/EntryWorkerPermits.cpp
+++ b/libs/entry/src/EntryWorkerPermits.cpp
@@ -30,7 +30,7 @@
                                now - aCandidate.limit.statedAt,
                                aCall.route->rank,
                                std::exchange(wait.wanted, 1),
-                               !aCandidate.hasAlternative };
+                               !aCandidate.hasAlternative && !aCandidate.isCold };
   auto& context = mContext;
   context.postToMain([&context, upstream, request, worker = mIndex] {
     const auto onGrant =
--- a/libs/entry/src/EntryWorkerSignals.cpp
+++ b/libs/entry/src/EntryWorkerSignals.cpp
@@ -37,6 +37,9 @@
     markUpstreamLeaving(aUpstream, aSource);
   }
   recordLimit(aUpstream, aReport, aSource, aSentAt);
+  if (isIdentified) {
+    recordWarmUp(aUpstream, aReport, aSource);
+  }
   if (aReport.holdOff.has_value()) {
     holdOffUpstream(aUpstream, *aReport.holdOff, aSource);
   }
--- a/libs/entry/src/MembershipUpdate.cpp
+++ b/libs/entry/src/MembershipUpdate.cpp
@@ -1,6 +1,7 @@
 #include "MembershipUpdate.h"
 #include <algorithm>
 #include <cmath>
+#include <telemetry/EventLog.h>
 
 namespace masticwall {
 
@@ -41,6 +42,19 @@
   return std::max(1, n);
 }
 
+void
+logNewlyCold(EntryTables& aTables)
+{
+  for (const auto& it : aTables.upstreams.takeNewlyCold()) {
+    aTables.metrics.count(Counter::UpstreamSignals, "cold");
+    logEvent(LogEvent::UpstreamCold,
+             { { "upstream", it.name },
+               { "instance", it.instance },
+               { "service", it.service },
+               { "sign", "list" } });
+  }
+}
+
 } // namespace
 
 void
@@ -56,6 +70,7 @@
   const auto addresses = upstreamsOf(list);
   aTables.upstreamCount = static_cast<int>(addresses.size());
   aTables.upstreams.update(*preset, addresses, aNow);
+  logNewlyCold(aTables);
   for (const auto& it : list) {
     if (it.role == VmRole::Upstream && it.leaving) {
       aTables.upstreams.markLeaving(
--- a/libs/entry/src/StateDump.cpp
+++ b/libs/entry/src/StateDump.cpp
@@ -29,6 +29,9 @@
       { QStringLiteral("requestLimit"),
         it.requestLimit.has_value() ? QJsonValue(it.requestLimit->perSecond)
                                     : QJsonValue() },
+      { QStringLiteral("coldMs"),
+        static_cast<qint64>(
+          toMilliseconds(std::max(Duration{ 0 }, it.coldUntil - now))) },
       { QStringLiteral("heldOffMs"),
         static_cast<qint64>(
           toMilliseconds(std::max(Duration{ 0 }, it.heldOffUntil - now))) },
--- a/libs/messages/include/messages/UpstreamReport.h
+++ b/libs/messages/include/messages/UpstreamReport.h
@@ -24,7 +24,9 @@
   std::optional<LoadReport> load; ///< empty if not reported
   /** The requests a second that the upstream takes from all VMs together. */
   std::optional<double> requestLimit;
-  std::string malformedRequestLimit; ///< what it says instead; cut if very long
+  std::string malformedRequestLimit;  ///< what it says instead; cut if very long
+  std::optional<Duration> warmUpLeft; ///< for which the upstream is still cold
+  std::string malformedWarmUp;        ///< what it says instead; cut if very long
 };
 
 /**
--- a/libs/tables/include/tables/UpstreamTable.h
+++ b/libs/tables/include/tables/UpstreamTable.h
@@ -73,6 +73,17 @@
                           Instant aSentAt,
                           Instant aNow);
 
+  /** Applies the time that a response states; see UpstreamPool::recordWarmUp(). */
+  LimitChange recordWarmUp(const UpstreamAddress& aUpstream,
+                           Duration aLeft,
+                           Instant aNow);
+
+  /** The instances that update() has found to be cold since the last call. */
+  std::vector<UpstreamAddress> takeNewlyCold();
+
+  /** Whether the upstream's instance takes a load query; see UpstreamState. */
+  bool acceptsLoadQuery(const UpstreamAddress& aUpstream, Instant aNow) const;
+
   /** The upstream for which a permit should be requested before the call is sent; see
    * UpstreamPool::permitCandidate(). */
   std::optional<PermitCandidate> permitCandidate(const UpstreamQuery& aQuery,
--- a/libs/tables/src/UpstreamTable.cpp
+++ b/libs/tables/src/UpstreamTable.cpp
@@ -24,7 +24,9 @@
     byService[it.service].push_back(it);
   }
   for (const auto& service : aPreset.services) {
-    mPools[service.name].update(byService[service.name], service.slots, aNow);
+    auto& pool = mPools[service.name];
+    pool.configureWarmUp(WarmUpPolicy::of(service, aPreset.warmUp));
+    pool.update(byService[service.name], service.slots, aNow);
   }
 }
 
@@ -42,7 +44,7 @@
     return pool.hasCandidate(filter, aNow) ? CallError::Overload : CallError::NoUpstream;
   }
   return UpstreamChoice{
-    chosen->address, chosen->load, chosen->inFlight, chosen->requestLimit.has_value()
+    chosen->address, chosen->load, chosen->inFlight, chosen->limitAt(aNow).has_value()
   };
 }
 
@@ -128,6 +130,35 @@
   return mPools[aUpstream.service].recordLimit(aUpstream, aPerSecond, aSentAt, aNow);
 }
 
+LimitChange
+UpstreamTable::recordWarmUp(const UpstreamAddress& aUpstream,
+                            Duration aLeft,
+                            Instant aNow)
+{
+  std::scoped_lock lock(mMutex);
+  return mPools[aUpstream.service].recordWarmUp(aUpstream, aLeft, aNow);
+}
+
+std::vector<UpstreamAddress>
+UpstreamTable::takeNewlyCold()
+{
+  std::scoped_lock lock(mMutex);
+  std::vector<UpstreamAddress> all;
+  for (auto& [service, pool] : mPools) {
+    const auto some = pool.takeNewlyCold();
+    all.insert(all.end(), some.begin(), some.end());
+  }
+  return all;
+}
+
+bool
+UpstreamTable::acceptsLoadQuery(const UpstreamAddress& aUpstream, Instant aNow) const
+{
+  std::scoped_lock lock(mMutex);
+  const auto it = mPools.find(aUpstream.service);
+  return it != mPools.end() && it->second.acceptsLoadQuery(aUpstream, aNow);
+}
+
 std::optional<PermitCandidate>
 UpstreamTable::permitCandidate(const UpstreamQuery& aQuery, Instant aNow)
 {
--- a/libs/telemetry/include/telemetry/Counter.h
+++ b/libs/telemetry/include/telemetry/Counter.h
@@ -15,7 +15,7 @@
   Retries,      ///< retries of calls: "sent", or "over-budget" if denied by the budget
   /** What upstreams report about themselves: "leaving", "held-off" (they want no requests
    * for a time), "limited" or "unlimited" (a request limit begins or ends),
-   * "bad-retry-after" or "bad-server-limit". */
+   * "cold" (it warms up), "bad-retry-after", "bad-server-limit" or "bad-warm-up". */
   UpstreamSignals,
   LoadQueries,     ///< "answered" or "failed" queries; "over-budget": none sent
   LimitedRequests, ///< to upstreams with a request limit: "call"; "no-permit": none sent
--- a/libs/telemetry/include/telemetry/LogEvent.h
+++ b/libs/telemetry/include/telemetry/LogEvent.h
@@ -38,6 +38,8 @@
   UpstreamLimit,     ///< an upstream's request limit began, changed or ended
   IssuerLost,        ///< a VM that issues permits for such an upstream has not replied
   ServerLimitBad,    ///< an upstream's request limit is no number; it is ignored
+  UpstreamCold,      ///< an upstream warms up, and its service limits requests meanwhile
+  WarmUpBad,         ///< what an upstream says of its warm-up is no time; it is ignored
   SuspectStopped,    ///< not retried: the request is blocked, as it crashed upstreams
   SuspectTried,   ///< sent once although it is blocked, to see whether it still crashes
   SuspectCleared, ///< a blocked request has run to its end and is let through again
@@ -66,7 +68,7 @@
 template<>
 struct EnumTable<LogEvent>
 {
-  static constexpr std::array<EnumName<LogEvent>, 53> kEntries{ {
+  static constexpr std::array<EnumName<LogEvent>, 55> kEntries{ {
     { LogEvent::Started, "started" },
     { LogEvent::Stopped, "stopped" },
     { LogEvent::StopRequested, "stop-requested" },
@@ -97,6 +99,8 @@
     { LogEvent::UpstreamLimit, "upstream-limit" },
     { LogEvent::IssuerLost, "issuer-lost" },
     { LogEvent::ServerLimitBad, "server-limit-bad" },
+    { LogEvent::UpstreamCold, "upstream-cold" },
+    { LogEvent::WarmUpBad, "warm-up-bad" },
     { LogEvent::SuspectStopped, "suspect-stopped" },
     { LogEvent::SuspectTried, "suspect-tried" },
     { LogEvent::SuspectCleared, "suspect-cleared" },
