--- a/tests/model/LimitPlan.h
+++ b/tests/model/LimitPlan.h
@@ -29,6 +29,13 @@
            !(scenario == LimitScenario::HalfGone && isSecondHalf && isLate);
   }
 
+  static constexpr bool kMayOverdraw = true;
+
+  bool reaches(int aVm, int aOther, Instant, Instant) const
+  {
+    return reachesPeers(aVm) && reachesPeers(aOther);
+  }
+
   bool reachesPeers(int aVm) const
   {
     return scenario != LimitScenario::HalfWithout || aVm < firstOfSecondHalf();
--- a/tests/model/PermitWay.h
+++ b/tests/model/PermitWay.h
@@ -1,34 +1,28 @@
 #pragma once
 
 #include "LimitWay.h"
+#include "ModelIssuers.h"
 #include <decide/PermitFallback.h>
 #include <decide/PermitIssuer.h>
-#include <decide/PermitIssuers.h>
 #include <decide/PermitRate.h>
 #include <decide/PermitStock.h>
 
 namespace masticwall::model {
 
-/** VMs request permits from the VM that issues them, as the product does. */
-class PermitWay
+/** VMs request permits from the VM that issues them, as the product does. `P` is a
+ * LimitPlan or a ColdPlan. */
+template<class P>
+class PermitWayOf
 {
 public:
-  PermitWay(VirtualTime& aTime, const LimitPlan& aPlan, std::mt19937_64& aRandom)
+  PermitWayOf(VirtualTime& aTime, const P& aPlan, std::mt19937_64& aRandom)
     : mTime(aTime)
     , mPlan(aPlan)
     , mRandom(aRandom)
     , mStart(aTime.now())
     , mStates(static_cast<std::size_t>(aPlan.vms))
   {
-    for (int i = 0; i < aPlan.vms; ++i) {
-      Vm vm;
-      vm.name = "front-" + std::to_string(i);
-      vm.role = VmRole::Masticwall;
-      mMembers.push_back(vm);
-    }
-    UpstreamAddress upstream;
-    upstream.name = "i-1";
-    mIssuers = permitIssuersOf(upstream, mMembers);
+    mIssuers = issuersAmong(aPlan.vms);
   }
 
   void call(int aVm, const std::function<void()>& aSend)
@@ -66,11 +60,10 @@
   void request(int aVm, std::size_t aIssuer)
   {
     auto& state = mStates[static_cast<std::size_t>(aVm)];
-    const PermitRequest wanted{
-      "i-1",         "1",   mPlan.perSecond,
-      Duration{ 0 }, kRank, static_cast<int>(state.waiting.size()),
-      true
-    };
+    const PermitRequest wanted{ "i-1",           "1",
+                                mPlan.perSecond, Duration{ 0 },
+                                kRank,           static_cast<int>(state.waiting.size()),
+                                P::kMayOverdraw };
     while (aIssuer < mIssuers.size() &&
            state.skippedUntil[mIssuers[aIssuer].name] > mTime.now()) {
       ++aIssuer;
@@ -79,10 +72,10 @@
       onGrant(aVm, state.fallback.grant(wanted, mPlan.vms, mTime.now(), mRandom));
       return;
     }
-    const auto issuer = std::stoi(mIssuers[aIssuer].name.substr(sizeof("front-") - 1));
+    const auto issuer = indexOfVm(mIssuers[aIssuer]);
     const bool isReachable =
       mPlan.isRunning(issuer, mTime.now(), mStart) &&
-      (issuer == aVm || (mPlan.reachesPeers(aVm) && mPlan.reachesPeers(issuer)));
+      (issuer == aVm || mPlan.reaches(aVm, issuer, mTime.now(), mStart));
     if (!isReachable) {
       mTime.after(kTimeout, [this, aVm, aIssuer] {
         mStates[static_cast<std::size_t>(aVm)].skippedUntil[mIssuers[aIssuer].name] =
@@ -111,14 +104,15 @@
   }
 
   VirtualTime& mTime;
-  const LimitPlan& mPlan;
+  const P& mPlan;
   std::mt19937_64& mRandom;
   Instant mStart;
-  VmList mMembers;
   VmList mIssuers;
   std::vector<State> mStates; ///< by VM
 };
 
+using PermitWay = PermitWayOf<LimitPlan>;
+
 static_assert(LimitWay<PermitWay>);
 
 } // namespace masticwall::model
