Show on real gateways that a cold upstream gets few requests

Change: ColdTest: an upstream that becomes cold while it is called, and a VM that is killed meanwhile; a new instance that is listed as cold; warm-ups that are no time; a service without a rate. The stand-in upstream tells how long it is cold. What ColdTest and LimitTest share (counts in a window, lookups in turn) went into the harness as it was; LimitTest checks what it checked before.

--- a/tests/harness/GatewaySystem.cpp
+++ b/tests/harness/GatewaySystem.cpp
@@ -126,18 +126,19 @@
     return R"(["r)" + aPath + R"(","a.example",")" + aPath + R"(",")" + aKind +
            R"(","2s","200ms",1,"lookup",2])";
   };
-  writeRecord(
-    "keyed.op",
-    "config",
-    R"({"version":)" + version +
-      R"(,"routes":{"columns":["name","host","path-prefix","kind","timeout",)" +
-      R"("target-latency","priority","service","attempts"],"rows":[)" +
-      row("/read/", "safe") + ',' + row("/order/", "unsafe") + ',' +
-      row("/v" + version + '/', "safe") +
-      R"(]},"services":{"columns":["name","health-path","max-connections"],)" +
-      R"("rows":[["lookup","/health",240]]},"limits":{"max-header-bytes":16384,)" +
-      R"("max-body-bytes":)" + std::to_string(mMaxBodyBytes) +
-      R"(,"header-timeout":"3s","idle-timeout":"15s"}})");
+  writeRecord("keyed.op",
+              "config",
+              R"({"version":)" + version +
+                R"(,"routes":{"columns":["name","host","path-prefix","kind","timeout",)" +
+                R"("target-latency","priority","service","attempts"],"rows":[)" +
+                row("/read/", "safe") + ',' + row("/order/", "unsafe") + ',' +
+                row("/v" + version + '/', "safe") +
+                R"(]},"services":{"columns":["name","health-path","max-connections",)" +
+                R"("warmup","warmup-per-s"],"rows":[["lookup","/health",240,"60s",)" +
+                std::to_string(mWarmUpPerSecond) +
+                R"(]]},"limits":{"max-header-bytes":16384,)" + R"("max-body-bytes":)" +
+                std::to_string(mMaxBodyBytes) +
+                R"(,"header-timeout":"3s","idle-timeout":"15s"}})");
 }
 
 void
@@ -148,11 +149,12 @@
 {
   const auto address = host(kFirstUpstream + aIndex).toString().toStdString() + ':' +
                        std::to_string(kUpstreamPort);
-  const auto value =
-    R"({"address":")" + address + R"(","born":)" + std::to_string(aStartedMs) +
-    R"(,"info":{"service":"lookup","version":"v1",)" +
-    R"("zone":"recife","concurrency-limit":4},"status":{"state":")" + aState +
-    R"(","sequence":)" + std::to_string(aSequence) + R"(,"warmup-left":"0ms"}})";
+  const auto value = R"({"address":")" + address + R"(","born":)" +
+                     std::to_string(aStartedMs) +
+                     R"(,"info":{"service":"lookup","version":"v1",)" +
+                     R"("zone":"recife","concurrency-limit":4},"status":{"state":")" +
+                     aState + R"(","sequence":)" + std::to_string(aSequence) +
+                     R"(,"warmup-left":")" + mListedWarmUp + R"("}})";
   writeRecord("keyed.servers", upstreamName(aIndex), aState.empty() ? "" : value);
 }
 
@@ -329,6 +331,7 @@
                             "[network.zones]\nrecife = \"litoral\"\n"
                             "[platform.platform]\naddress = \"%3:%8\"\n"
                             "[terms.bounds]\ngrace = \"6s\"\n"
+                            "cold-over = 1.5\ncold-slack = 8\n"
                             "retry-budget-ratio = %9\n")
                .arg(aIndex)
                .arg(ip, store, seed)
--- a/tests/harness/GatewaySystem.h
+++ b/tests/harness/GatewaySystem.h
@@ -47,6 +47,13 @@
   /** Of requests and answers; in the configurations that are written from now on. */
   void setMaxBodyBytes(qint64 aBytes) { mMaxBodyBytes = aBytes; }
 
+  /** The requests a second that cold upstreams take, in the configurations that are
+   * written from now on; 0: not limited. */
+  void setWarmUpPerSecond(double aPerSecond) { mWarmUpPerSecond = aPerSecond; }
+
+  /** For which upstreams that are listed from now on are still cold, as a text. */
+  void setListedWarmUp(const std::string& aLeft) { mListedWarmUp = aLeft; }
+
   /** Of gateways that are started from now on. */
   void setLimits(int aMaxFds, int aMemoryMb);
 
@@ -124,6 +131,8 @@
   int mNet;
   bool mWritesThroughOutages = false;
   qint64 mMaxBodyBytes = kMiB;
+  double mWarmUpPerSecond = 0.0;
+  std::string mListedWarmUp = "0ms";
   int mMaxFds = 4100;
   int mMemoryMb = 260;
   QTemporaryDir mDirectory;
--- a/tests/integration/LimitTest.cpp
+++ b/tests/integration/LimitTest.cpp
@@ -1,10 +1,10 @@
-#include "GatewaySystem.h"
+#include "LookupRun.h"
 #include "Wait.h"
+#include "WindowedCount.h"
 #include <QTcpServer>
 #include <QUrl>
 #include <catch2/catch.hpp>
 #include <csignal>
-#include <deque>
 
 using namespace masticwall;
 using namespace masticwall::test;
@@ -14,8 +14,6 @@
 
 namespace {
 
-using Clock = std::chrono::steady_clock;
-
 constexpr double kLimit = 5.0;
 constexpr auto kStabilityWindow = std::chrono::seconds(3);
 constexpr auto kWindow = std::chrono::seconds(4);
@@ -23,80 +21,12 @@
 /** The requests that an upstream may get within kWindow. */
 constexpr int kMaxInWindow = 35;
 
-/** Samples the requests that have reached an upstream, and keeps the highest number
- * within kWindow. */
-class WindowedRequests
-{
-public:
-  WindowedRequests(GatewaySystem& aSystem, int aUpstream)
-    : mSystem(aSystem)
-    , mUpstream(aUpstream)
-  {
-  }
-
-  void sample()
-  {
-    const auto now = Clock::now();
-    const auto requests = mSystem.ledgerOf(mUpstream).requests();
-    mSamples.push_back({ now, requests });
-    while (mSamples.front().at < now - kWindow) {
-      mSamples.pop_front();
-    }
-    mMax = std::max(mMax, requests - mSamples.front().requests);
-  }
-
-  int max() const { return mMax; }
-
-private:
-  struct Sample
-  {
-    Clock::time_point at;
-    int requests = 0;
-  };
-
-  GatewaySystem& mSystem;
-  int mUpstream;
-  std::deque<Sample> mSamples;
-  int mMax = 0;
-};
-
-struct LookupCounts
+/** Of all requests that have reached an upstream. */
+WindowedCount
+requestsOf(GatewaySystem& aSystem, int aUpstream)
 {
-  int served = 0;
-  int refused = 0;
-  int other = 0;
-  std::chrono::milliseconds slowestRefusal{ 0 };
-};
-
-/** Sends lookups to the gateways in turn for `aTime`, about 100 a second. */
-LookupCounts
-sendLookups(
-  GatewaySystem& aSystem,
-  const std::vector<int>& aGateways,
-  std::chrono::milliseconds aTime,
-  const std::function<void()>& aAfterEach = [] {})
-{
-  LookupCounts counts;
-  const auto end = Clock::now() + aTime;
-  for (std::size_t i = 0; Clock::now() < end; ++i) {
-    const auto sentAt = Clock::now();
-    const auto answer =
-      aSystem.call(aGateways[i % aGateways.size()], "GET", "/read/1", "limited");
-    const auto took =
-      std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - sentAt);
-    if (statusOf(answer) == 200) {
-      ++counts.served;
-    } else if (statusOf(answer) == 503 &&
-               !http::findHeader(answer->headers, "Retry-After").empty()) {
-      ++counts.refused;
-      counts.slowestRefusal = std::max(counts.slowestRefusal, took);
-    } else {
-      ++counts.other;
-    }
-    aAfterEach();
-    runEventsFor(5);
-  }
-  return counts;
+  return { [&aSystem, aUpstream] { return aSystem.ledgerOf(aUpstream).requests(); },
+           kWindow };
 }
 
 void
@@ -137,7 +67,7 @@
   REQUIRE(system.start());
   setLimit(system, 0, "5");
   sendLookups(system, { 0, 1, 2 }, kStabilityWindow);
-  WindowedRequests requests(system, 0);
+  auto requests = requestsOf(system, 0);
   const auto sample = [&] { requests.sample(); };
   auto counts = sendLookups(system, { 0, 1, 2 }, std::chrono::seconds(5), sample);
   CHECK(counts.refused + counts.other == 0); // the others have room
@@ -160,9 +90,9 @@
     setLimit(system, i, "5");
   }
   sendLookups(system, { 0, 1, 2 }, kStabilityWindow);
-  std::deque<WindowedRequests> requests;
-  requests.emplace_back(system, 0);
-  requests.emplace_back(system, 1);
+  std::vector<WindowedCount> requests;
+  requests.push_back(requestsOf(system, 0));
+  requests.push_back(requestsOf(system, 1));
   constexpr int kSeconds = 8;
   const auto counts =
     sendLookups(system, { 0, 1, 2 }, std::chrono::seconds(kSeconds), [&] {
@@ -189,7 +119,7 @@
     setLimit(system, i, "5");
   }
   sendLookups(system, { 0, 1, 2 }, kStabilityWindow);
-  WindowedRequests requests(system, 0);
+  auto requests = requestsOf(system, 0);
   const auto sample = [&] { requests.sample(); };
   system.gateway(1).kill();
   const auto counts = sendLookups(system, { 0, 2 }, std::chrono::seconds(5), sample);
--- a/tests/standins/Upstream.cpp
+++ b/tests/standins/Upstream.cpp
@@ -93,6 +93,11 @@
     response.headers.push_back({ "Masticwall-Not-Executed", "1" });
   }
   addSigns(response);
+  const auto coldLeft = toMilliseconds(mColdUntil - mTimers.now());
+  const auto text = coldLeft > 0 ? std::to_string(coldLeft) + "ms" : mWarmUpText;
+  if (!text.empty()) {
+    response.headers.push_back({ "Masticwall-Warmup-Remaining", text });
+  }
   if (mHidesHealthLeaving) {
     http::removeHeader(response.headers, kServerLeaving);
   }
@@ -162,6 +167,10 @@
       mHidesLoad = value.toInt() != 0;
     } else if (name == QLatin1String("server_limit")) {
       mServerLimit = value.toStdString();
+    } else if (name == QLatin1String("cold_ms")) {
+      mColdUntil = mTimers.now() + std::chrono::milliseconds(value.toInt());
+    } else if (name == QLatin1String("warm_up_text")) {
+      mWarmUpText = value.toStdString();
     } else if (name == QLatin1String("retry_after")) {
       mRetryAfter = value.toStdString();
     } else if (name == QLatin1String("error_status")) {
--- a/tests/standins/Upstream.h
+++ b/tests/standins/Upstream.h
@@ -77,6 +77,8 @@
   bool mIsPlatform = false;   ///< speaks the platform's headers
   bool mHidesLeaving = false; ///< neither its health nor its answers say that it leaves
   std::string mServerLimit;   ///< said with each answer; empty: nothing
+  Instant mColdUntil;         ///< its health answers say how long that is still
+  std::string mWarmUpText;    ///< said with health answers instead of a time, if any
   std::string mRetryAfter;    ///< said with each rejection; empty: nothing
   bool mHidesLoad = false;    ///< the platform's answers don't tell its load
   std::optional<http::Status> mErrorStatus; ///< of requests that have run; empty: success
