--- a/libs/decide/src/UpstreamPool.cpp
+++ b/libs/decide/src/UpstreamPool.cpp
@@ -16,6 +16,13 @@
 /** Weight of a new sample in the moving average of the load of all upstreams. */
 constexpr double kMeanLoadWeight = 1.0 / 32.0;
 
+/** An older load report does not tell whether an upstream has a slot free. */
+constexpr Duration kMaxReportAgeForTrial = std::chrono::seconds(1);
+
+/** No permits are requested so soon after a running upstream has become cold: other VMs
+ * that don't know yet still send calls. */
+constexpr Duration kPauseAtWarmUp = std::chrono::milliseconds(500);
+
 } // namespace
 
 void
@@ -27,6 +34,8 @@
   mLeavingInstances.onListed(aAddresses, aNow);
   mHoldOffs.removeEnded(aNow);
   mRequestLimits.onListed(aAddresses, aNow);
+  const auto newlyCold = mColdUpstreams.onListed(aAddresses, aNow);
+  mNewlyCold.insert(mNewlyCold.end(), newlyCold.begin(), newlyCold.end());
   std::vector<std::unique_ptr<UpstreamState>> states;
   for (const auto& it : aAddresses) {
     const auto known =
@@ -47,6 +56,8 @@
     setEvacuated(*state, aNow);
     state->heldOffUntil = std::max(state->heldOffUntil, mHoldOffs.until(it));
     state->requestLimit = mRequestLimits.find(it);
+    const bool wasRunning = known != mStates.end();
+    setColdUntil(*state, mColdUpstreams.coldUntil(it), wasRunning, aNow);
     states.push_back(std::move(state));
   }
   mStates = std::move(states);
@@ -84,10 +95,14 @@
     return;
   }
   state->inFlight = std::max(0, state->inFlight - 1);
+  const bool isTrial = std::exchange(state->isOnTrial, false);
   switch (aOutcome) {
     case AttemptOutcome::Answered:
       FailureBackOff::onAnswered(*state);
-      mSlowUpstreams.recordLatency(*state, aLatency, mStates);
+      mSlowUpstreams.recordAnswer(*state, aLatency, mStates);
+      if (isTrial) {
+        mSlowUpstreams.recordTrialAnswer(aLatency, mStates);
+      }
       return;
     case AttemptOutcome::ErrorResponse:
       // The latency is not recorded: errors are often fast and don't show the normal
@@ -98,9 +113,7 @@
       FailureBackOff::onShed(*state, aNow);
       return;
     case AttemptOutcome::Failed:
-      // A fast failure must not lower the mean latency.
-      mSlowUpstreams.recordLatency(
-        *state, std::max(aLatency, state->meanLatency), mStates);
+      mSlowUpstreams.recordFailure(*state, aLatency, mStates);
       FailureBackOff::onFailure(*state, aNow);
       return;
     case AttemptOutcome::Cancelled:
@@ -166,6 +179,37 @@
   return change;
 }
 
+LimitChange
+UpstreamPool::recordWarmUp(const UpstreamAddress& aUpstream, Duration aLeft, Instant aNow)
+{
+  const auto change = mColdUpstreams.record(aUpstream, aLeft, aNow);
+  if (auto* const state = findInstance(aUpstream)) {
+    state->healthAt = aNow;
+    setColdUntil(*state, mColdUpstreams.coldUntil(aUpstream), true, aNow);
+  }
+  return change;
+}
+
+void
+UpstreamPool::setColdUntil(UpstreamState& aState,
+                           Instant aUntil,
+                           bool aWasRunning,
+                           Instant aNow) const
+{
+  if (aWasRunning && !aState.isCold(aNow) && aUntil > aNow) {
+    aState.permits.postponeRequests(aNow + kPauseAtWarmUp);
+  }
+  aState.coldUntil = aUntil;
+  aState.warmUpPerSecond = mColdUpstreams.policy().perSecond;
+}
+
+bool
+UpstreamPool::acceptsLoadQuery(const UpstreamAddress& aUpstream, Instant aNow) const
+{
+  const auto* const state = findInstance(aUpstream);
+  return state != nullptr && state->acceptsLoadQueries(aNow);
+}
+
 bool
 UpstreamPool::acceptsRequest(const UpstreamAddress& aUpstream,
                              bool aHasPermit,
@@ -173,7 +217,7 @@
 {
   const auto* const state = findInstance(aUpstream);
   return state != nullptr && state->isOpen(aNow) &&
-         (aHasPermit || !state->requestLimit.has_value());
+         (aHasPermit || !state->limitAt(aNow).has_value());
 }
 
 ServiceAvailability
@@ -194,7 +238,7 @@
       continue;
     }
     auto nextAt = it->heldOffUntil;
-    if (it->requestLimit.has_value()) {
+    if (it->limitAt(aNow).has_value()) {
       availability.isLimited = true;
       nextAt = std::max(nextAt, it->permits.nextRequestAt(aRank));
     }
@@ -245,12 +289,41 @@
   return states;
 }
 
+bool
+UpstreamPool::hasCallInFlight() const
+{
+  return std::any_of(mStates.begin(), mStates.end(), [](const auto& aState) {
+    return aState->inFlight > 0;
+  });
+}
+
+UpstreamState*
+UpstreamPool::tryStartTrial(const std::vector<ScoredUpstream>& aScored, Instant aNow)
+{
+  const auto isReported = [aNow](const ScoredUpstream& aIt) {
+    return aNow - aIt.state->load.receivedAt <= kMaxReportAgeForTrial;
+  };
+  const bool isBlind = std::none_of(aScored.begin(), aScored.end(), isReported);
+  const ScoredUpstream* best = nullptr;
+  for (const auto& it : aScored) {
+    const bool isIdle = isBlind || (isReported(it) && it.estimate.queueing <= 0.0);
+    if (isIdle && (best == nullptr || it.score < best->score)) {
+      best = &it;
+    }
+  }
+  if (best == nullptr || hasCallInFlight() || !mOverloadTrials.tryStart(aNow)) {
+    return nullptr;
+  }
+  best->state->isOnTrial = true;
+  return best->state;
+}
+
 void
 UpstreamPool::startCall(UpstreamState& aState, Instant aNow)
 {
   ++aState.inFlight;
   mSlowUpstreams.scheduleNextTrial(aState, aNow);
-  if (aState.requestLimit.has_value()) {
+  if (aState.limitAt(aNow).has_value()) {
     aState.permits.tryTake(aNow);
   }
 }
--- a/libs/entry/src/MembershipUpdate.cpp
+++ b/libs/entry/src/MembershipUpdate.cpp
@@ -1,5 +1,6 @@
 #include "MembershipUpdate.h"
 #include <algorithm>
+#include <telemetry/EventLog.h>
 
 namespace masticwall {
 
@@ -40,6 +41,19 @@
   return std::max(1, n);
 }
 
+void
+logNewlyCold(EntryTables& aTables)
+{
+  for (const auto& it : aTables.upstreams.takeNewlyCold()) {
+    aTables.metrics.count(Counter::UpstreamSignals, "cold");
+    logEvent(LogEvent::UpstreamCold,
+             { { "upstream", it.name },
+               { "instance", it.instance },
+               { "service", it.service },
+               { "sign", "list" } });
+  }
+}
+
 } // namespace
 
 void
@@ -56,6 +70,7 @@
   aTables.upstreamCount = static_cast<int>(addresses.size());
   const auto evacuated = aTables.membership.evacuated();
   aTables.upstreams.update(*preset, addresses, evacuated, aNow);
+  logNewlyCold(aTables);
   for (const auto& it : list) {
     if (it.role == VmRole::Upstream && it.leaving) {
       aTables.upstreams.markLeaving(
@@ -68,11 +83,10 @@
     // With a whole region evacuated, the upstreams of the others serve its calls.
     const bool servesElsewhere = localSlots == 0 && !evacuated.empty();
     const auto limit =
-      servesElsewhere
-        ? InFlightLimit::of(preset->limits.overcommit,
-                            aTables.upstreams.slotsIn(it.name, {}),
-                            aTables.entryCount)
-        : InFlightLimit::of(preset->limits.overcommit, localSlots, entries);
+      servesElsewhere ? InFlightLimit::of(preset->limits.overcommit,
+                                          aTables.upstreams.slotsIn(it.name, {}),
+                                          aTables.entryCount)
+                      : InFlightLimit::of(preset->limits.overcommit, localSlots, entries);
     aTables.admission.configure(
       it.name, preset->ranks, limit, preset->limits.maxQueueLength);
   }
--- a/libs/telemetry/include/telemetry/LogEvent.h
+++ b/libs/telemetry/include/telemetry/LogEvent.h
@@ -41,6 +41,8 @@
   OverQuota,         ///< the first call in a while that is beyond a tenant's quota
   QuotaBad,          ///< a tenant's rate or burst makes no sense; it counts as absent
   ServerLimitBad,    ///< an upstream's request limit is no number; it is ignored
+  UpstreamCold,      ///< an upstream warms up, and its service limits requests meanwhile
+  WarmUpBad,         ///< what an upstream says of its warm-up is no time; it is ignored
   SuspectStopped,    ///< not retried: the request is blocked, as it crashed upstreams
   SuspectTried,   ///< sent once although it is blocked, to see whether it still crashes
   SuspectCleared, ///< a blocked request has run to its end and is let through again
@@ -75,7 +77,7 @@
 template<>
 struct EnumTable<LogEvent>
 {
-  static constexpr std::array<EnumName<LogEvent>, 61> kEntries{ {
+  static constexpr std::array<EnumName<LogEvent>, 63> kEntries{ {
     { LogEvent::Started, "started" },
     { LogEvent::Stopped, "stopped" },
     { LogEvent::StopRequested, "stop-requested" },
@@ -108,6 +110,8 @@
     { LogEvent::OverQuota, "over-quota" },
     { LogEvent::QuotaBad, "quota-bad" },
     { LogEvent::ServerLimitBad, "server-limit-bad" },
+    { LogEvent::UpstreamCold, "upstream-cold" },
+    { LogEvent::WarmUpBad, "warm-up-bad" },
     { LogEvent::SuspectStopped, "suspect-stopped" },
     { LogEvent::SuspectTried, "suspect-tried" },
     { LogEvent::SuspectCleared, "suspect-cleared" },
--- a/tests/harness/GatewaySystem.cpp
+++ b/tests/harness/GatewaySystem.cpp
@@ -143,20 +143,21 @@
                  R"("burst"],"rows":[)" +
                    mTenants + "]}"
                : "";
-  writeRecord(
-    "keyed.op",
-    "config",
-    R"({"version":)" + version +
-      R"(,"routes":{"columns":["name","host","path-prefix","kind","timeout",)" +
-      R"("target-latency","priority","service","attempts","allowed-regions")" +
-      (hasTenants ? R"(,"public"],"rows":[)" + row("/open/", "safe") + ','
-                  : R"(],"rows":[)") +
-      row("/read/", "safe") + ',' + row("/order/", "unsafe") + ',' +
-      row("/v" + version + '/', "safe") +
-      R"(]},"services":{"columns":["name","health-path","max-connections"],)" +
-      R"("rows":[["lookup","/health",240]]},"limits":{"max-header-bytes":16384,)" +
-      R"("max-body-bytes":)" + std::to_string(mMaxBodyBytes) +
-      R"(,"header-timeout":"3s","idle-timeout":"15s"})" + tenants + "}");
+  writeRecord("keyed.op",
+              "config",
+              R"({"version":)" + version +
+                R"(,"routes":{"columns":["name","host","path-prefix","kind","timeout",)" +
+                R"("target-latency","priority","service","attempts","allowed-regions")" +
+                (hasTenants ? R"(,"public"],"rows":[)" + row("/open/", "safe") + ','
+                            : R"(],"rows":[)") +
+                row("/read/", "safe") + ',' + row("/order/", "unsafe") + ',' +
+                row("/v" + version + '/', "safe") +
+                R"(]},"services":{"columns":["name","health-path","max-connections",)" +
+                R"("warmup","warmup-per-s"],"rows":[["lookup","/health",240,"60s",)" +
+                std::to_string(mWarmUpPerSecond) +
+                R"(]]},"limits":{"max-header-bytes":16384,"max-body-bytes":)" +
+                std::to_string(mMaxBodyBytes) +
+                R"(,"header-timeout":"3s","idle-timeout":"15s"})" + tenants + "}");
 }
 
 void
@@ -172,7 +173,7 @@
     R"({"address":")" + address + R"(","born":)" + std::to_string(aStartedMs) +
     R"(,"info":{"service":"lookup","version":"v1","zone":")" + zone +
     R"(","concurrency-limit":4},"status":{"state":")" + aState + R"(","sequence":)" +
-    std::to_string(aSequence) + R"(,"warmup-left":"0ms"}})";
+    std::to_string(aSequence) + R"(,"warmup-left":")" + mListedWarmUp + R"("}})";
   writeRecord("keyed.servers", upstreamName(aIndex), aState.empty() ? "" : value);
 }
 
@@ -371,6 +372,7 @@
                             "natal = \"litoral\"\npetrolina = \"sertao\"\n"
                             "[platform.platform]\naddress = \"%3:%8\"\n"
                             "[terms.bounds]\ngrace = \"6s\"\n"
+                            "cold-over = 1.5\ncold-slack = 8\n"
                             "retry-budget-ratio = %9\n"
                             "fail-closed = %12\nrevoke = \"%13ms\"\n")
                .arg(aIndex)
--- a/tests/harness/GatewaySystem.h
+++ b/tests/harness/GatewaySystem.h
@@ -69,6 +69,12 @@
 
   /** From its next start on, a gateway has no path to the store. */
   void cutFromStore(int aIndex) { mCutFromStore.insert(aIndex); }
+  /** The requests a second that cold upstreams take, in the configurations that are
+   * written from now on; 0: not limited. */
+  void setWarmUpPerSecond(double aPerSecond) { mWarmUpPerSecond = aPerSecond; }
+
+  /** For which upstreams that are listed from now on are still cold, as a text. */
+  void setListedWarmUp(const std::string& aLeft) { mListedWarmUp = aLeft; }
 
   /** Of gateways that are started from now on. */
   void setLimits(int aMaxFds, int aMemoryMb);
@@ -165,6 +171,8 @@
   int mRevokeMs = 5000;
   std::string mReadRegions = "null";
   std::map<int, std::string> mZones; ///< by upstream
+  double mWarmUpPerSecond = 0.0;
+  std::string mListedWarmUp = "0ms";
   int mMaxFds = 4100;
   int mMemoryMb = 260;
   QTemporaryDir mDirectory;
