--- a/libs/decide/tests/EstimatedLatencyTest.cpp
+++ b/libs/decide/tests/EstimatedLatencyTest.cpp
@@ -188,7 +188,7 @@
     report("near-2", 4, 3, 100);
   };
   const auto chooseOnce = [this] {
-    const auto name = choose();
+    auto name = choose();
     pool().recordAttemptEnd(name, AttemptOutcome::Cancelled, {}, time().now());
     return name;
   };
