--- a/libs/gateway/include/gateway/ConfigSyncEvacuations.h
+++ b/libs/gateway/include/gateway/ConfigSyncEvacuations.h
@@ -26,6 +26,7 @@
 ConfigSync<S>::applyEvacuated(const SourceSnapshot& aSnapshot)
 {
   std::vector<Evacuation> list;
+  list.reserve(aSnapshot.evacuated.size());
   for (const auto& it : aSnapshot.evacuated) {
     list.push_back({ it });
   }
--- a/tests/integration/EvacuationTest.cpp
+++ b/tests/integration/EvacuationTest.cpp
@@ -74,6 +74,7 @@
   std::vector<int> requestsOf(const std::vector<int>& aUpstreams) const
   {
     std::vector<int> requests;
+    requests.reserve(aUpstreams.size());
     for (const auto it : aUpstreams) {
       requests.push_back(mSystem.ledgerOf(it).requests());
     }
