Bound what a substitute issues beside an issuer that lives

Change: a substitute believes that only after two requests in a row, and asks again after 0.15 s instead of 0.3 s; less credit is kept besides the burst.

--- a/libs/decide/include/decide/QuotaIssuers.h
+++ b/libs/decide/include/decide/QuotaIssuers.h
@@ -23,6 +23,9 @@
   /** The tenant's issuers, the first one first; fewer if there are not as many VMs. */
   VmList issuersOf(std::string_view aTenant) const;
 
+  /** Whether the VM issues the permits of any tenant. */
+  bool contains(std::string_view aVm) const;
+
 private:
   VmList mStrongest; ///< by name
 };
--- a/libs/decide/include/decide/QuotaRouter.h
+++ b/libs/decide/include/decide/QuotaRouter.h
@@ -25,8 +25,8 @@
   {
   }
 
-  /** `aMembers` are masticwall VMs. */
-  void setMembers(const VmList& aMembers);
+  /** To be called with each new list of VMs. */
+  void setIssuers(QuotaIssuers aIssuers);
 
   /** `aIsRelayed`: for a request of another VM. */
   QuotaRoute routeFor(const std::string& aTenant, bool aIsRelayed, Instant aNow);
@@ -38,6 +38,7 @@
 private:
   struct Skip
   {
+    int losses = 0; ///< requests in a row without a reply
     Instant until;
     Duration time{ 0 };
   };
--- a/libs/decide/src/QuotaIssuers.cpp
+++ b/libs/decide/src/QuotaIssuers.cpp
@@ -38,6 +38,14 @@
   }
 }
 
+bool
+QuotaIssuers::contains(std::string_view aVm) const
+{
+  return std::any_of(mStrongest.begin(), mStrongest.end(), [aVm](const Vm& aStrong) {
+    return aStrong.name == aVm;
+  });
+}
+
 VmList
 QuotaIssuers::issuersOf(std::string_view aTenant) const
 {
--- a/libs/decide/src/QuotaRouter.cpp
+++ b/libs/decide/src/QuotaRouter.cpp
@@ -9,20 +9,20 @@
  * Substitutes ask again sooner, as two VMs issue permits meanwhile. */
 constexpr Duration kSkipTime = std::chrono::seconds(1);
 constexpr Duration kMaxSkipTime = std::chrono::seconds(8);
-constexpr Duration kRelaySkipTime = std::chrono::milliseconds(300);
+constexpr Duration kRelaySkipTime = std::chrono::milliseconds(150);
+
+/** A substitute believes an issuer to be lost after so many requests without a reply. */
+constexpr int kRelayLosses = 2;
 
 } // namespace
 
 void
-QuotaRouter::setMembers(const VmList& aMembers)
+QuotaRouter::setIssuers(QuotaIssuers aIssuers)
 {
-  mIssuers = QuotaIssuers(aMembers);
+  mIssuers = std::move(aIssuers);
   mIssuersOfTenants.clear();
-  std::erase_if(mSkips, [&](const auto& aSkip) {
-    return std::none_of(aMembers.begin(), aMembers.end(), [&](const Vm& aVm) {
-      return aVm.name == aSkip.first.issuer;
-    });
-  });
+  std::erase_if(
+    mSkips, [this](const auto& aSkip) { return !mIssuers.contains(aSkip.first.issuer); });
 }
 
 QuotaRoute
@@ -44,7 +44,8 @@
 QuotaRouter::recordLost(const QuotaRoute& aRoute, Instant aNow)
 {
   auto& skip = mSkips[aRoute];
-  if (aNow < skip.until) {
+  ++skip.losses;
+  if (aNow < skip.until || (aRoute.isRelayed && skip.losses < kRelayLosses)) {
     return;
   }
   skip.time = aRoute.isRelayed
--- a/libs/decide/src/QuotaTerms.cpp
+++ b/libs/decide/src/QuotaTerms.cpp
@@ -17,12 +17,12 @@
 // Parts of the spread.
 constexpr double kStockPart = 0.2;
 constexpr double kCallPart = 0.4;
-constexpr double kCapacityPart = 0.1;
+constexpr double kCapacityPart = 0.05;
 constexpr double kInitialPart = 0.15;
 constexpr double kAlonePart = 0.075; ///< once for the issuer, once for all others
 
 // Parts of the slack.
-constexpr double kCapacitySlack = 0.25;
+constexpr double kCapacitySlack = 0.15;
 constexpr double kInitialSlack = 0.25;
 constexpr double kAloneSlack = 0.125;
 
--- a/libs/gateway/src/QuotaService.cpp
+++ b/libs/gateway/src/QuotaService.cpp
@@ -13,8 +13,8 @@
 /** Calls wait meanwhile. Between regions a reply takes some 25 ms. */
 constexpr Duration kRequestTimeout = std::chrono::milliseconds(150);
 
-/** Of a VM that relays requests; below kRequestTimeout, so that it can still reply. */
-constexpr Duration kRelayTimeout = std::chrono::milliseconds(60);
+/** Of a VM that relays requests; two are below kRequestTimeout, so that it can reply. */
+constexpr Duration kRelayTimeout = std::chrono::milliseconds(50);
 constexpr Duration kTimerMargin = std::chrono::milliseconds(20);
 
 /** Requests notice a lost connection; PINGs of each VM to each issuer would add up. */
@@ -68,7 +68,7 @@
   std::copy_if(aVms.begin(), aVms.end(), std::back_inserter(mMembers), [](const Vm& aVm) {
     return aVm.role == VmRole::Masticwall;
   });
-  mRouter.setMembers(mMembers);
+  mRouter.setIssuers(QuotaIssuers(mMembers));
   for (const auto& it : before) {
     const bool isListed =
       std::any_of(mMembers.begin(), mMembers.end(), [&](const Vm& aMember) {
