--- a/libs/decide/include/decide/UpstreamPool.h
+++ b/libs/decide/include/decide/UpstreamPool.h
@@ -5,6 +5,8 @@
 #include <decide/AttemptOutcome.h>
 #include <decide/CandidateFinder.h>
 #include <decide/CandidateSelection.h>
+#include <decide/ColdUpstreams.h>
+#include <decide/DataCentreNames.h>
 #include <decide/EstimatedLatency.h>
 #include <decide/FewestInFlight.h>
 #include <decide/HoldOffs.h>
@@ -12,6 +14,7 @@
 #include <decide/LeavingInstances.h>
 #include <decide/LoadBalancingPolicy.h>
 #include <decide/LoadQueryScope.h>
+#include <decide/OverloadTrials.h>
 #include <decide/PermitCandidate.h>
 #include <decide/RequestLimits.h>
 #include <decide/ScoredUpstream.h>
@@ -19,6 +22,7 @@
 #include <decide/SlotShare.h>
 #include <limits>
 #include <string_view>
+#include <utility>
 
 namespace masticwall {
 
@@ -38,6 +42,18 @@
    */
   void update(const std::vector<UpstreamAddress>& aAddresses, int aSlots, Instant aNow);
 
+  /** Sets how cold upstreams are limited, from the next update() on. */
+  void configureWarmUp(const WarmUpPolicy& aPolicy) { mColdUpstreams.configure(aPolicy); }
+
+  /** The instances that update() has found to be cold since the last call. */
+  std::vector<UpstreamAddress> takeNewlyCold() { return std::exchange(mNewlyCold, {}); }
+
+  /**
+   * Sends no requests to the upstreams in `aDataCentres`, also not to those that are
+   * listed later. Upstreams in others that were evacuated go through slow start.
+   */
+  void setEvacuated(const DataCentreNames& aDataCentres, Instant aNow);
+
   /**
    * Selects an eligible upstream (see CandidateFinder) in `aRegion` (empty: in any) by
    * `aPolicy` and counts a call in flight to it; null if there is none. EstimatedLatency
@@ -61,7 +77,8 @@
 
   /**
    * Selects the eligible upstream, in any region, with the lowest estimated latency
-   * within `aLimit` and counts a call in flight to it; null if there is none.
+   * within `aLimit`, or now and then an idle one for a trial beyond it, and counts a call
+   * in flight to it; null if there is none. See OverloadTrials.
    */
   template<RandomSource R>
   const UpstreamState* chooseLowestLatency(const Locality& aLocality,
@@ -73,13 +90,18 @@
     UpstreamState* best = nullptr;
     auto bestScore = std::numeric_limits<double>::max();
     const auto candidates = finder().find({}, aFilter, aNow);
-    for (const auto& it :
-         scoreCandidates(candidates, estimator(aLocality), aNow, aRandom)) {
+    const auto scored = scoreCandidates(candidates, estimator(aLocality), aNow, aRandom);
+    for (const auto& it : scored) {
       if (it.score < bestScore && isWithin(it.estimate, aLimit)) {
         best = it.state;
         bestScore = it.score;
       }
     }
+    if (best != nullptr) {
+      mOverloadTrials.onSent();
+    } else if (aLimit.maxTotal > Duration{ 0 }) {
+      best = tryStartTrial(scored, aNow);
+    }
     if (best != nullptr) {
       startCall(*best, aNow);
     }
@@ -95,7 +117,10 @@
   /**
    * Of the eligible upstreams with the lowest estimated latency, as many as `aScope`
    * says, those whose load report is older than `aMaxReportAge`. A load query counts as a
-   * request, so those with a request limit are left out.
+   * request, so those that state a request limit are left out. Of the cold ones without a
+   * permit the best is asked beside the others, which shows when it is warm. As responses
+   * to calls don't tell that an upstream has become cold, those that may are asked again
+   * after a while; see ColdUpstreams::mustAskAgain().
    */
   template<RandomSource R>
   std::vector<UpstreamAddress> staleTopCandidates(const Locality& aLocality,
@@ -106,7 +131,7 @@
                                                   R& aRandom) const
   {
     auto ranked = scoreCandidates(
-      finder().find({}, aFilter, aNow), estimator(aLocality), aNow, aRandom);
+      finder().findForLoadQueries(aFilter, aNow), estimator(aLocality), aNow, aRandom);
     std::sort(ranked.begin(),
               ranked.end(),
               [](const ScoredUpstream& aLeft, const ScoredUpstream& aRight) {
@@ -115,14 +140,21 @@
     std::vector<UpstreamAddress> stale;
     std::size_t n = 0;
     int slots = 0;
+    bool hasCold = false;
     for (const auto& it : ranked) {
       if (n >= aScope.upstreams && slots >= aScope.slots) {
         break;
       }
-      ++n;
-      slots += it.state->slots;
+      const bool isWithoutPermit = !it.state->acceptsRequests(aNow);
+      if (isWithoutPermit && std::exchange(hasCold, true)) {
+        continue;
+      }
+      n += isWithoutPermit ? 0 : 1;
+      slots += isWithoutPermit ? 0 : it.state->slots;
       const bool isLimited = it.state->requestLimit.has_value();
-      if (!isLimited && aNow - it.state->load.receivedAt > aMaxReportAge) {
+      const bool isStale = aNow - it.state->load.receivedAt > aMaxReportAge ||
+                           mColdUpstreams.mustAskAgain(it.state->healthAt, aNow);
+      if (!isLimited && isStale) {
         stale.push_back(it.state->address);
       }
     }
@@ -142,7 +174,7 @@
                                                  Instant aNow,
                                                  R& aRandom) const
   {
-    if (mRequestLimits.isEmpty()) {
+    if (mRequestLimits.isEmpty() && mColdUpstreams.isEmpty()) {
       return std::nullopt;
     }
     const auto limited = finder().findLimited(aRank, aFilter, aNow);
@@ -169,7 +201,8 @@
     if (best == nullptr) {
       return std::nullopt;
     }
-    return PermitCandidate{ best->address, *best->requestLimit, hasAlternative };
+    const auto limit = *best->limitAt(aNow);
+    return PermitCandidate{ best->address, limit, hasAlternative, best->isCold(aNow) };
   }
 
   /** Adds the reply to a request for permits for this instance; see PermitStock::add().
@@ -231,13 +264,25 @@
                           Instant aSentAt,
                           Instant aNow);
 
+  /** Applies a health response of this instance, which states how long it is still cold,
+   * or nothing (zero); see ColdUpstreams::record(). */
+  LimitChange recordWarmUp(const UpstreamAddress& aUpstream,
+                           Duration aLeft,
+                           Instant aNow);
+
+  /** Whether this instance is listed and takes a load query; see UpstreamState. */
+  bool acceptsLoadQuery(const UpstreamAddress& aUpstream, Instant aNow) const;
+
   /** Whether this instance is listed and takes a request, with a permit or without. */
   bool acceptsRequest(const UpstreamAddress& aUpstream,
                       bool aHasPermit,
                       Instant aNow) const;
 
-  /** Whether a call of `aRank` can be sent, at once or after a request for a permit. */
-  ServiceAvailability availability(Rank aRank, Instant aNow) const;
+  /** Whether a call of `aRank` that may run in `aAllowedRegions` can be sent, at once or
+   * after a request for a permit. */
+  ServiceAvailability availability(Rank aRank,
+                                   Instant aNow,
+                                   const AllowedRegions& aAllowedRegions = {}) const;
 
   /** The regions that have upstreams, after `aLocalRegion`, which always comes first. */
   std::vector<std::string> regions(std::string_view aLocalRegion) const;
@@ -248,7 +293,15 @@
     return mSlowUpstreams.typicalProcessingTime();
   }
 
-  /** Total slots of the upstreams in `aRegion` that are not leaving. */
+  /** Whether upstreams tell their load, and there are fewer calls than slots at those
+   * that lately did, on average. */
+  bool hasRoom() const { return mMeanLoad.has_value() && *mMeanLoad < 1.0; }
+
+  /** Whether a load report of this instance is known. */
+  bool hasReport(const UpstreamAddress& aUpstream) const;
+
+  /** Total slots of the upstreams in `aRegion` (empty: in all) that are neither leaving
+   * nor evacuated. */
   int slotsIn(std::string_view aRegion) const;
 
   /** A copy of the state of every upstream. */
@@ -260,7 +313,10 @@
   /** `aLocality` must outlive the result. */
   EstimatedLatency estimator(const Locality& aLocality) const
   {
-    return { aLocality, typicalProcessingTime(), mMeanProcessingTimePercent };
+    return { aLocality,
+             typicalProcessingTime(),
+             mMeanProcessingTimePercent,
+             mMeanLoad.value_or(0.0) };
   }
 
   bool isWithin(const LatencyEstimate& aEstimate, const LatencyLimit& aLimit) const
@@ -297,6 +353,21 @@
     return chooseRandom(aCandidates, aRandom);
   }
 
+  /** Sets whether the upstream's data centre is evacuated. */
+  void setEvacuated(UpstreamState& aState, Instant aNow) const;
+
+  bool hasCallInFlight() const;
+
+  /** The upstream that a call is sent to beyond its limit; null if it is to be refused.
+   */
+  UpstreamState* tryStartTrial(const std::vector<ScoredUpstream>& aScored, Instant aNow);
+
+  /** `aWasRunning`: the instance was listed before, so that VMs may be calling it. */
+  void setColdUntil(UpstreamState& aState,
+                    Instant aUntil,
+                    bool aWasRunning,
+                    Instant aNow) const;
+
   /** Counts a call in flight, and takes a permit if one is needed. */
   void startCall(UpstreamState& aState, Instant aNow);
 
@@ -305,11 +376,16 @@
 
   UpstreamStates mStates;
   SlowUpstreams mSlowUpstreams;
+  OverloadTrials mOverloadTrials;
   LeavingInstances mLeavingInstances;
+  DataCentreNames mEvacuated;
   HoldOffs mHoldOffs;
   RequestLimits mRequestLimits;
+  ColdUpstreams mColdUpstreams;
+  std::vector<UpstreamAddress> mNewlyCold;
   double mMeanProcessingTimePercent =
     100.0; ///< moving average of LoadReport::processingTimePercent
+  std::optional<double> mMeanLoad; ///< moving average of reported calls per slot
 };
 
 } // namespace masticwall
--- a/libs/entry/src/Call.h
+++ b/libs/entry/src/Call.h
@@ -5,7 +5,9 @@
 #include <core/ClaimId.h>
 #include <core/Digest.h>
 #include <decide/AdmissionRequest.h>
+#include <decide/CallRank.h>
 #include <decide/Preset.h>
+#include <decide/QuotaTerms.h>
 #include <decide/UpstreamAddress.h>
 #include <entry/CallMetadata.h>
 #include <http/Request.h>
@@ -26,8 +28,11 @@
   std::uint64_t id = 0;
   std::shared_ptr<const Preset> preset; ///< owns `route`
   const Route* route = nullptr;
-  const Tenant* tenant = nullptr; ///< owned by `preset`; null: the call carries no key
+  const Tenant* tenant = nullptr; ///< owned by `preset`; null: it has none
   std::string service;            ///< the route's, or one from its traffic split
+  /** Of the route and the tenant, which both bind. As of the call's arrival, like all of
+   * `preset`: a change binds the calls that arrive after it. */
+  AllowedRegions allowedRegions;
   CallMetadata metadata;
   http::Request request;
   http::ResponderPtr responder;
@@ -48,6 +53,13 @@
   Digest fingerprint;
   bool isTrial = false; ///< of a suspect that is blocked; see SuspectList
 
+  /** The quota of `tenant`; empty: it has none. */
+  std::optional<QuotaTerms> quota;
+  bool awaitsQuota = false;    ///< waits for a permit
+  bool hasQuotaPermit = false; ///< until quotaExpiresAt, unless it is sent by then
+  Instant quotaExpiresAt;
+  Duration quotaRetryAfter{ 0 }; ///< set if the quota is used up
+
   std::size_t pendingLoadQueries = 0; ///< unanswered load queries, in stage QueryingLoads
   int loadQueryRounds = 0;
   TimerHandle loadQueryTimer;
@@ -67,6 +79,14 @@
   bool mayHaveRun = false; ///< an attempt without a response may have run
   TimerHandle deadlineTimer;
 
+  Rank rank() const { return callRank(*route, tenant); }
+
+  /** Empty without a tenant. */
+  std::string_view tenantName() const
+  {
+    return tenant == nullptr ? std::string_view() : std::string_view(tenant->name);
+  }
+
   bool isOrder() const { return !route->idempotent; }
 
   /** An order with an idempotency key, which is claimed so that the order runs at most
--- a/libs/entry/src/EntryWorker.h
+++ b/libs/entry/src/EntryWorker.h
@@ -1,10 +1,13 @@
 #pragma once
 
+#include "Arrival.h"
 #include "Call.h"
 #include "LoadQueryId.h"
 #include "ReportSource.h"
 #include "WorkerContext.h"
 #include <core/CallError.h>
+#include <decide/KeyCheck.h>
+#include <decide/PresetInquiry.h>
 #include <decide/RetryAfterRange.h>
 #include <decide/RetryBudget.h>
 #include <decide/TrafficSplit.h>
@@ -30,6 +33,10 @@
                                                      std::uint32_t aIndex);
   ~EntryWorker();
 
+  /** Refuses the waiting calls that no upstream can get, as data centres are evacuated.
+   */
+  void onEvacuated();
+
   /** Admission gave a slot to a waiting call of `aService`. */
   void onSlotGranted(std::uint64_t aCall, const std::string& aService);
 
@@ -48,6 +55,9 @@
   /** The reply to a request for permits, for calls of `aRank`; they are in the table. */
   void onPermits(const UpstreamAddress& aUpstream, const PermitGrant& aGrant, Rank aRank);
 
+  /** The reply to a request for permits of a tenant's quota, for a call that waited. */
+  void onQuotaDecided(std::uint64_t aCall, const std::string& aTenant, bool aIsGranted);
+
   /** The active preset or the VM list has changed. */
   void onPresetChanged();
 
@@ -73,10 +83,16 @@
   // Arrival
   void onRequest(http::Request aRequest, http::ResponderPtr aResponder);
 
+  /** Makes a call of the request, or refuses it, by the preset in force now. */
+  void accept(Arrival aArrival);
+
   /** Refuses a request for which there is no preset or no route. */
   void refuseUnrouted(const CallMetadata& aMetadata,
                       const http::ResponderPtr& aResponder,
                       CallError aError);
+
+  /** The response to a request that could not be received. */
+  http::Response encodeHttpError(const std::error_code& aError);
   void respondToHealthCheck(const http::ResponderPtr& aResponder) const;
   void startCall(Call& aCall);
 
@@ -86,6 +102,33 @@
   void requestAdmission(Call& aCall);
   void requestClaim(Call& aCall);
 
+  // Quotas of tenants
+  /** Takes a permit for the call if its tenant has a quota, and then goes on with its
+   * admission; or waits for a permit, or ends the call. */
+  void startQuota(Call& aCall);
+
+  /** Whether the call may be sent, as far as its quota is concerned. Otherwise waits for
+   * a permit again, as the call's own has expired while it waited. */
+  bool hasValidQuota(Call& aCall);
+
+  /** True if the call has a permit; otherwise waits for one, or ends the call. */
+  bool drawQuota(Call& aCall);
+  void requestQuota(const std::string& aTenant);
+  void endAsOverQuota(Call& aCall);
+
+  /** The call has ended, or runs elsewhere: gives back its permit if it was not run. */
+  void returnQuota(Call& aCall);
+
+  // Callers' keys
+  /** Refuses a call for the key that it carries, or lacks. */
+  void refuseKey(const KeyCheck& aCheck, const Route& aRoute, const Arrival& aArrival);
+
+  /** Keeps a request with an unknown key until another VM was asked for a newer preset;
+   * false if it must be refused now. */
+  bool awaitNewerPreset(Arrival& aArrival);
+  void askForNewerPreset();
+  void onPresetInquiryEnd(std::uint64_t aInquiry);
+
   // Load queries
   /** Queries the load of the upstreams that the call may be sent to, and requests a
    * permit where it needs one; sends it if there is nothing to wait for. */
@@ -136,16 +179,34 @@
                    const UpstreamReport& aReport,
                    ReportSource aSource,
                    Instant aSentAt);
+  void recordWarmUp(const UpstreamAddress& aUpstream,
+                    const UpstreamReport& aReport,
+                    ReportSource aSource);
   void markUpstreamLeaving(const UpstreamAddress& aUpstream, ReportSource aSource);
   void holdOffUpstream(const UpstreamAddress& aUpstream,
                        Duration aDuration,
                        ReportSource aSource);
 
-  /** Refuses the waiting calls of a service that no upstream can get. */
+  // Availability
+  /** Sets the regions in which the call may run. */
+  void restrictRegions(Call& aCall);
+
+  /** Whether an upstream that the call may use takes it now. */
+  ServiceAvailability availabilityFor(const Call& aCall) const;
+
+  /** Refuses the waiting calls that no upstream can get, after `aUpstream` has ceased to
+   * accept requests. */
+  void refuseWaitingIfUnavailable(const UpstreamAddress& aUpstream);
+
+  /** The same for all upstreams of a service. */
   void refuseWaitingIfUnavailable(const std::string& aService);
+
+  /** The same for this worker's calls that may run in some regions only; of all services
+   * if `aService` is empty. */
+  void refuseRestricted(const std::string& aService);
   void onUnavailable(std::uint64_t aCall);
 
-  /** Ends a call that no upstream can run: all leave, are held off or have no permit. */
+  /** Ends a call that no upstream can run now. */
   void endAsUnavailable(Call& aCall);
 
   /** Until the first upstream may accept the call again; 0 if any accepts it now, or none
@@ -214,6 +275,7 @@
   http::UpstreamConnectionPool mUpstreamConnections;
   std::unique_ptr<http::HttpListener> mListener;
   std::unordered_map<std::uint64_t, std::unique_ptr<Call>> mCalls;
+  std::size_t mRestrictedCalls = 0; ///< those of `mCalls` that may not run in any region
   std::uint64_t mNextSequence = 1;
   std::optional<TokenBucket> mLoadQueryBudget; ///< set with the first preset
   RetryBudget mRetryBudget;
@@ -227,6 +289,11 @@
   };
   std::map<std::pair<std::string, std::string>, PermitWait>
     mPermitWaits; ///< by upstream name and instance
+  PresetInquiry mPresetInquiry;
+  std::map<std::uint64_t, Arrival> mWaitingArrivals; ///< for the inquiry in progress
+  std::uint64_t mNextArrival = 1;
+  std::uint64_t mInquiry = 0; ///< number of the inquiry in progress
+  TimerHandle mInquiryTimer;
   TrafficSplit mTrafficSplit;
   std::mt19937_64 mRandom;
   TimerHandle mGaugeTimer;
--- a/libs/entry/src/EntryWorkerPermits.cpp
+++ b/libs/entry/src/EntryWorkerPermits.cpp
@@ -28,9 +28,9 @@
                                upstream.instance,
                                aCandidate.limit.perSecond,
                                now - aCandidate.limit.statedAt,
-                               aCall.route->rank,
+                               aCall.rank(),
                                std::exchange(wait.wanted, 1),
-                               !aCandidate.hasAlternative };
+                               !aCandidate.hasAlternative && !aCandidate.isCold };
   auto& context = mContext;
   context.postToMain([&context, upstream, request, worker = mIndex] {
     const auto onGrant =
@@ -61,7 +61,7 @@
   if (aGrant.permits == 0) {
     mTables.metrics.count(Counter::LimitedRequests, "no-permit");
     mPermitWaits.erase(it);
-    refuseWaitingIfUnavailable(aUpstream.service);
+    refuseWaitingIfUnavailable(aUpstream);
   } else {
     it->second.wanted = std::max(1, static_cast<int>(waiting.size()) - aGrant.permits);
   }
--- a/libs/entry/src/MembershipUpdate.cpp
+++ b/libs/entry/src/MembershipUpdate.cpp
@@ -1,6 +1,6 @@
 #include "MembershipUpdate.h"
 #include <algorithm>
-#include <cmath>
+#include <telemetry/EventLog.h>
 
 namespace masticwall {
 
@@ -41,6 +41,19 @@
   return std::max(1, n);
 }
 
+void
+logNewlyCold(EntryTables& aTables)
+{
+  for (const auto& it : aTables.upstreams.takeNewlyCold()) {
+    aTables.metrics.count(Counter::UpstreamSignals, "cold");
+    logEvent(LogEvent::UpstreamCold,
+             { { "upstream", it.name },
+               { "instance", it.instance },
+               { "service", it.service },
+               { "sign", "list" } });
+  }
+}
+
 } // namespace
 
 void
@@ -55,7 +68,9 @@
   const auto& region = aTables.settings.common.region;
   const auto addresses = upstreamsOf(list);
   aTables.upstreamCount = static_cast<int>(addresses.size());
-  aTables.upstreams.update(*preset, addresses, aNow);
+  const auto evacuated = aTables.membership.evacuated();
+  aTables.upstreams.update(*preset, addresses, evacuated, aNow);
+  logNewlyCold(aTables);
   for (const auto& it : list) {
     if (it.role == VmRole::Upstream && it.leaving) {
       aTables.upstreams.markLeaving(
@@ -64,12 +79,16 @@
   }
   const auto entries = countEntries(list, region);
   for (const auto& it : preset->services) {
-    const auto inFlightLimit =
-      preset->limits.overcommit * aTables.upstreams.slotsIn(it.name, region) / entries;
-    aTables.admission.configure(it.name,
-                                preset->ranks,
-                                static_cast<int>(std::ceil(inFlightLimit)),
-                                preset->limits.maxQueueLength);
+    const auto localSlots = aTables.upstreams.slotsIn(it.name, region);
+    // With a whole region evacuated, the upstreams of the others serve its calls.
+    const bool servesElsewhere = localSlots == 0 && !evacuated.empty();
+    const auto limit =
+      servesElsewhere ? InFlightLimit::of(preset->limits.overcommit,
+                                          aTables.upstreams.slotsIn(it.name, {}),
+                                          aTables.entryCount)
+                      : InFlightLimit::of(preset->limits.overcommit, localSlots, entries);
+    aTables.admission.configure(
+      it.name, preset->ranks, limit, preset->limits.maxQueueLength);
   }
 }
 
--- a/libs/entry/src/StateDump.cpp
+++ b/libs/entry/src/StateDump.cpp
@@ -29,6 +29,9 @@
       { QStringLiteral("requestLimit"),
         it.requestLimit.has_value() ? QJsonValue(it.requestLimit->perSecond)
                                     : QJsonValue() },
+      { QStringLiteral("coldMs"),
+        static_cast<qint64>(
+          toMilliseconds(std::max(Duration{ 0 }, it.coldUntil - now))) },
       { QStringLiteral("heldOffMs"),
         static_cast<qint64>(
           toMilliseconds(std::max(Duration{ 0 }, it.heldOffUntil - now))) },
@@ -37,6 +40,16 @@
   return list;
 }
 
+QJsonArray
+dumpEvacuated(const EntryTables& aTables)
+{
+  QJsonArray list;
+  for (const auto& it : aTables.membership.evacuated()) {
+    list.append(toQString(it));
+  }
+  return list;
+}
+
 QJsonArray
 dumpAdmission(const EntryTables& aTables)
 {
@@ -55,6 +68,22 @@
   return list;
 }
 
+/** The tenants with the most refusals. */
+QJsonArray
+dumpQuotas(const EntryTables& aTables)
+{
+  constexpr std::size_t kMaxTenants = 100;
+  QJsonArray list;
+  for (const auto& it : aTables.quotas.snapshot(kMaxTenants)) {
+    list.append(
+      QJsonObject{ { QStringLiteral("tenant"), toQString(it.tenant) },
+                   { QStringLiteral("permits"), it.permits },
+                   { QStringLiteral("waiting"), static_cast<qint64>(it.waiting) },
+                   { QStringLiteral("refused"), static_cast<qint64>(it.refusals) } });
+  }
+  return list;
+}
+
 QJsonArray
 dumpWorkers(const EntryTables& aTables)
 {
@@ -86,8 +115,10 @@
     { QStringLiteral("version"),
       preset == nullptr ? 0 : static_cast<qint64>(preset->version) },
     { QStringLiteral("orders"), static_cast<qint64>(aTables.orders.size()) },
+    { QStringLiteral("evacuated"), dumpEvacuated(aTables) },
     { QStringLiteral("upstreams"), dumpUpstreams(aTables) },
     { QStringLiteral("admission"), dumpAdmission(aTables) },
+    { QStringLiteral("quotas"), dumpQuotas(aTables) },
     { QStringLiteral("calls"), aTables.statistics.toJson() },
   };
 }
--- a/libs/gateway/include/gateway/ConfigSync.h
+++ b/libs/gateway/include/gateway/ConfigSync.h
@@ -12,6 +12,7 @@
 #include <gateway/ConfigSource.h>
 #include <gateway/ConfigSyncTimings.h>
 #include <gateway/SourceCache.h>
+#include <gateway/TenantKeyLog.h>
 #include <messages/Paths.h>
 #include <optional>
 #include <peer/PeerClients.h>
@@ -72,6 +73,14 @@
     mFeedServer.serve(aHave, std::move(aReply));
   }
 
+  /**
+   * Asks another VM for its preset, which may be newer than what the source had when it
+   * was read: a version may not have reached this VM yet, or the source may have come
+   * back from an older copy before this VM started. Calls back once, when a newer one is
+   * in the tables or there is none; at once if another VM was asked a moment ago.
+   */
+  void catchUp(std::function<void()> aDone = [] {});
+
   /** Decodes the active preset again; to be called after S::setBudgets(). */
   void onBudgetsChanged();
 
@@ -133,16 +142,21 @@
   void updateTreePosition();
   void requestFeed(const Vm& aVm, const FeedRequest& aHave, PeerClient::Callback aDone);
 
-  /**
-   * Asks another VM for its preset, which may be newer than what the source has: it may
-   * have come back from an older copy before this VM started.
-   */
-  void catchUp();
-  void fetchPreset(const Vm& aVm);
+  void fetchPreset(const Vm& aVm, std::function<void()> aDone);
+
+  /** The source was read at `aTime`, by this VM or by another. */
+  void recordRead(Instant aTime);
 
   /** Adapts to a source that has come back from an older copy, if the era says so. */
   void recordEra(std::optional<std::uint64_t> aEra);
 
+  // Evacuated data centres
+  void applyEvacuated(const Feed& aFeed);
+  void applyEvacuated(const SourceSnapshot& aSnapshot);
+
+  /** Puts the evacuated data centres into the tables and logs what has changed. */
+  void publishEvacuated();
+
   // Members
 
   /** While this VM is the one that reads for all: asks the other VMs in turn whether they
@@ -195,7 +209,8 @@
   TimerHandle mSweepTimer;
   VmListMerger mMerger;
   GoneInstances mGoneInstances;
-  Instant mLastReplyAt; ///< of another VM
+  DataCentreNames mKeptEvacuations; ///< as logged
+  Instant mLastReplyAt;             ///< of another VM
   Instant mRestoredAt; ///< when the source came back from an older copy; Instant{}: never
   FeedCursor mCursor;  ///< position in the feed of the polled peer
   std::optional<std::size_t> mPeerIndex; ///< polled peer, in the feed candidates
@@ -217,6 +232,7 @@
 
 } // namespace masticwall
 
+#include <gateway/ConfigSyncEvacuations.h>
 #include <gateway/ConfigSyncFeeds.h>
 #include <gateway/ConfigSyncMembers.h>
 #include <gateway/ConfigSyncReading.h>
--- a/libs/messages/src/Field.h
+++ b/libs/messages/src/Field.h
@@ -66,9 +66,15 @@
   NextInMs = 56,
   Era = 57,
   IsLastResort = 58,
-  Evacuated = 59, ///< names of data centres
+  Evacuated = 59, ///< maps of DataCentre and, if not 0, KeptForMs
   Tenant = 60,
   Returned = 61, ///< permits that were not used
+  KeptForMs = 62,
+  Tenants = 63,
+  Ahead = 64, ///< permits for calls that are expected
+  IsRelayed = 65,
+  IsKnown = 66,
+  RetryAfterMs = 67,
 };
 
 } // namespace masticwall
--- a/libs/telemetry/include/telemetry/LogEvent.h
+++ b/libs/telemetry/include/telemetry/LogEvent.h
@@ -36,8 +36,13 @@
   UpstreamHeldOff,   ///< an upstream wants no requests for a time
   RetryAfterBad,     ///< an upstream's Retry-After is no time; it is ignored
   UpstreamLimit,     ///< an upstream's request limit began, changed or ended
-  IssuerLost,        ///< a VM that issues permits for such an upstream has not replied
+  IssuerLost,        ///< a VM that issues permits, for such an upstream or of a tenant,
+                     ///< has not replied
+  OverQuota,         ///< the first call in a while that is beyond a tenant's quota
+  QuotaBad,          ///< a tenant's rate or burst makes no sense; it counts as absent
   ServerLimitBad,    ///< an upstream's request limit is no number; it is ignored
+  UpstreamCold,      ///< an upstream warms up, and its service limits requests meanwhile
+  WarmUpBad,         ///< what an upstream says of its warm-up is no time; it is ignored
   SuspectStopped,    ///< not retried: the request is blocked, as it crashed upstreams
   SuspectTried,   ///< sent once although it is blocked, to see whether it still crashes
   SuspectCleared, ///< a blocked request has run to its end and is let through again
@@ -46,12 +51,18 @@
   ReloadRequested,
   Reloaded,
   CallRefused,       ///< refused before it was matched to a route
+  BodyRefused,       ///< no room for a request's body beside those of others
+  KeyRefused,        ///< refused for its key, which is not logged
+  TenantKeyBad,      ///< the keys of a tenant in the preset are not as they should be
   CallEnded,         ///< logged if failed or later than the route's target; else sampled
   CallAttempt,       ///< one for each attempt of a call logged as CallEnded
   SourceUnreachable, ///< the store of VM list and preset can't be read (gateway)
   SourceReachable,   ///< the source can be read again
   SourceChanged,   ///< the VM list from the source or a peer's feed has changed (gateway)
   SourceRestored,  ///< the source came back from an older copy
+  EvacuationBegun, ///< a data centre is evacuated: its upstreams get nothing new
+  EvacuationKept, ///< ... though the source, which came back from an older copy, lacks it
+  EvacuationEnded, ///< its upstreams are used again
   StoreEraBad,     ///< the source's era is no number; it is ignored
   SourceTakenOver, ///< this VM starts reading the source instead of a peer's feed
   FeedLost,        ///< a request to a peer for its feed failed
@@ -66,7 +77,7 @@
 template<>
 struct EnumTable<LogEvent>
 {
-  static constexpr std::array<EnumName<LogEvent>, 53> kEntries{ {
+  static constexpr std::array<EnumName<LogEvent>, 63> kEntries{ {
     { LogEvent::Started, "started" },
     { LogEvent::Stopped, "stopped" },
     { LogEvent::StopRequested, "stop-requested" },
@@ -96,7 +107,11 @@
     { LogEvent::RetryAfterBad, "retry-after-bad" },
     { LogEvent::UpstreamLimit, "upstream-limit" },
     { LogEvent::IssuerLost, "issuer-lost" },
+    { LogEvent::OverQuota, "over-quota" },
+    { LogEvent::QuotaBad, "quota-bad" },
     { LogEvent::ServerLimitBad, "server-limit-bad" },
+    { LogEvent::UpstreamCold, "upstream-cold" },
+    { LogEvent::WarmUpBad, "warm-up-bad" },
     { LogEvent::SuspectStopped, "suspect-stopped" },
     { LogEvent::SuspectTried, "suspect-tried" },
     { LogEvent::SuspectCleared, "suspect-cleared" },
@@ -105,12 +120,18 @@
     { LogEvent::ReloadRequested, "reload-requested" },
     { LogEvent::Reloaded, "reloaded" },
     { LogEvent::CallRefused, "call-refused" },
+    { LogEvent::BodyRefused, "body-refused" },
+    { LogEvent::KeyRefused, "key-refused" },
+    { LogEvent::TenantKeyBad, "tenant-key-bad" },
     { LogEvent::CallEnded, "call-ended" },
     { LogEvent::CallAttempt, "call-attempt" },
     { LogEvent::SourceUnreachable, "source-unreachable" },
     { LogEvent::SourceReachable, "source-reachable" },
     { LogEvent::SourceChanged, "source-changed" },
     { LogEvent::SourceRestored, "source-restored" },
+    { LogEvent::EvacuationBegun, "evacuation-begun" },
+    { LogEvent::EvacuationKept, "evacuation-kept" },
+    { LogEvent::EvacuationEnded, "evacuation-ended" },
     { LogEvent::StoreEraBad, "store-era-bad" },
     { LogEvent::SourceTakenOver, "source-taken-over" },
     { LogEvent::FeedLost, "feed-lost" },
