Send a second request of a late call that may be repeated

Cause: a few slow answers spoil the operators' figures; they accept extra work within a share that they set. Counted in masticwall_hedges_total, logged as call-hedged.

--- a/libs/decide/include/decide/AdmissionQueue.h
+++ b/libs/decide/include/decide/AdmissionQueue.h
@@ -58,8 +58,9 @@
   /** The number of waiting calls of a rank. */
   std::size_t waiting(Rank aRank) const { return mWaiting[indexOf(aRank)].size(); }
 
-private:
   bool hasWaiting() const;
+
+private:
   bool wouldWaitTooLong(const AdmissionRequest& aRequest, Instant aNow) const;
   bool hasExpired(const AdmissionRequest& aRequest, Instant aNow) const;
   std::optional<AdmissionRequest> dequeue();
--- a/libs/decide/include/decide/CandidateFilter.h
+++ b/libs/decide/include/decide/CandidateFilter.h
@@ -15,10 +15,14 @@
   int maxInFlight = 1;                     ///< calls from this process to one upstream
   std::span<const std::string> excluded{}; ///< names, as already tried for this call
   AllowedRegions allowedRegions{};
+  /** The call can do without: no upstream that has a request limit or backs off. */
+  bool isOptional = false;
+  std::string avoidedDataCentre{}; ///< empty: none
 
   bool allows(const UpstreamAddress& aUpstream) const
   {
     return allowedRegions.allows(aUpstream.region) &&
+           (avoidedDataCentre.empty() || aUpstream.dataCentre != avoidedDataCentre) &&
            std::find(excluded.begin(), excluded.end(), aUpstream.name) == excluded.end();
   }
 };
--- a/libs/decide/src/CandidateFinder.cpp
+++ b/libs/decide/src/CandidateFinder.cpp
@@ -12,7 +12,10 @@
   std::vector<UpstreamState*> backingOff;
   for (const auto& it : states) {
     const bool isInRegion = aRegion.empty() || it->address.region == aRegion;
-    if (isInRegion && it->acceptsRequests(aNow) && hasRoom(*it, aFilter, aNow)) {
+    const bool isAvoided =
+      aFilter.isOptional && (it->limitAt(aNow).has_value() || it->backOffUntil > aNow);
+    if (isInRegion && !isAvoided && it->acceptsRequests(aNow) &&
+        hasRoom(*it, aFilter, aNow)) {
       (it->backOffUntil > aNow ? backingOff : available).push_back(it.get());
     }
   }
--- a/libs/entry/src/Call.h
+++ b/libs/entry/src/Call.h
@@ -2,6 +2,7 @@
 
 #include "CallAttempt.h"
 #include "CallStage.h"
+#include "HedgeAttempt.h"
 #include <core/ClaimId.h>
 #include <core/Digest.h>
 #include <decide/AdmissionRequest.h>
@@ -67,9 +68,13 @@
   std::optional<UpstreamAddress> upstream; ///< in stages Sending and Settling
   std::uint64_t exchange = 0; ///< id in the worker's connection pool; 0: none
   Instant sentAt;
+  std::size_t attempt = 0;           ///< index in `history` of the one at `upstream`
+  std::optional<HedgeAttempt> hedge; ///< beside the one at `upstream`
+  bool wasHedged = false;            ///< a hedge was sent
+  TimerHandle hedgeTimer;
   std::vector<std::string> excluded; ///< upstreams already tried, not chosen again
   int attempts = 0;
-  std::vector<CallAttempt> history; ///< all attempts, the current one last
+  std::vector<CallAttempt> history; ///< all attempts, in the order they were sent
   bool lastAttemptMayHaveRun = false;
   std::optional<http::Response> lastErrorResponse; ///< returned if no retry succeeds
   bool wasShed = false; ///< an upstream has rejected an attempt without running it
--- a/libs/entry/src/EntryWorker.cpp
+++ b/libs/entry/src/EntryWorker.cpp
@@ -115,6 +115,10 @@
     mLoadQueryBudget.emplace(queriesPerSecond, queriesPerSecond);
   }
   mRetryBudget.configure(RetryAllowance::of(limits, entries, workers));
+  mHedgeBudget.configure(mTables.settings.hedging, entries, workers);
+  if (mHedgeDelays.size() > preset->routes.size()) {
+    mHedgeDelays.clear(); // most are of routes that are gone
+  }
   if (limits.idleTimeout > Duration{ 0 }) {
     mListener->setTimeouts(limits.headerTimeout, limits.idleTimeout);
   }
@@ -215,6 +219,7 @@
 {
   const auto it = mCalls.find(aCall);
   if (it != mCalls.end()) {
+    cancelHedge(*it->second);
     mRestrictedCalls -= it->second->allowedRegions.isAny() ? 0 : 1;
     mCalls.erase(it);
   }
--- a/libs/entry/src/EntryWorker.h
+++ b/libs/entry/src/EntryWorker.h
@@ -6,6 +6,9 @@
 #include "ReportSource.h"
 #include "WorkerContext.h"
 #include <core/CallError.h>
+#include <decide/HedgeBudget.h>
+#include <decide/HedgeDelay.h>
+#include <decide/HedgeRequest.h>
 #include <decide/KeyCheck.h>
 #include <decide/PresetInquiry.h>
 #include <decide/RetryAfterRange.h>
@@ -150,8 +153,17 @@
   void sendIfReady(Call& aCall);
   UpstreamQuery upstreamQueryFor(const Call& aCall) const;
   void send(Call& aCall);
-  http::Exchange makeExchange(const Call& aCall);
-  void onExchangeDone(std::uint64_t aCall, const http::ExchangeResult& aResult);
+  /** `aAttempt`: its index in Call::history. */
+  http::Exchange makeExchange(const Call& aCall,
+                              const UpstreamAddress& aUpstream,
+                              bool aHasPermit,
+                              std::size_t aAttempt);
+  void onExchangeDone(std::uint64_t aCall,
+                      std::size_t aAttempt,
+                      const http::ExchangeResult& aResult);
+  static void logUpstreamFailure(const UpstreamAddress& aUpstream,
+                                 const std::string& aCallId,
+                                 const http::ExchangeResult& aResult);
 
   /** Logs responses that came on the exchange's connection but belong to no request.
    * `aCallId` is "-" for a load query. */
@@ -235,6 +247,36 @@
   /** Records the current attempt's outcome and excludes its upstream from retries. */
   void endAttempt(Call& aCall, AttemptOutcome aOutcome);
 
+  // Hedges
+  /** Sets the time at which the call that was just sent gets a hedge. */
+  void scheduleHedge(Call& aCall);
+  void onHedgeDue(std::uint64_t aCall);
+  HedgeVerdict tryHedge(Call& aCall);
+
+  /** Chooses an upstream with a slot free, in another data centre if there is one. */
+  Result<UpstreamChoice> chooseForHedge(const Call& aCall);
+  void sendHedge(Call& aCall, const UpstreamChoice& aChoice);
+
+  /** One of two requests in progress has ended. Returns false if it is now the call's
+   * only one, with a usable response; true if the other one goes on. */
+  bool onHedgedExchangeDone(Call& aCall,
+                            std::size_t aAttempt,
+                            const http::ExchangeResult& aResult);
+
+  /** Whether the response can be the call's; errors give way to the other request. */
+  bool isUsable(const http::ExchangeResult& aResult) const;
+
+  /** Exchanges the roles of the two requests in progress. */
+  static void swapHedge(Call& aCall);
+  void endFailedHedge(Call& aCall, const http::ExchangeResult& aResult);
+
+  /** Cancels the second request, if one is in progress. */
+  void cancelHedge(Call& aCall);
+  void endHedge(Call& aCall, AttemptOutcome aOutcome);
+
+  /** Records how long the first request of the call took, or has taken so far. */
+  void recordHedgeDelay(const Call& aCall);
+
   // Ending
   void onDeadline(std::uint64_t aCall);
   void onCallerGone(std::uint64_t aCall);
@@ -296,6 +338,8 @@
   TimerHandle mInquiryTimer;
   TrafficSplit mTrafficSplit;
   std::mt19937_64 mRandom;
+  HedgeBudget mHedgeBudget;
+  std::unordered_map<std::string, HedgeDelay> mHedgeDelays; ///< by route
   TimerHandle mGaugeTimer;
 };
 
--- a/libs/entry/src/EntryWorkerArrival.cpp
+++ b/libs/entry/src/EntryWorkerArrival.cpp
@@ -98,6 +98,9 @@
   auto& added = *call;
   mCalls[added.id] = std::move(call);
   mRetryBudget.recordCall(added.service, added.arrivedAt, mRandom);
+  if (mTables.settings.hedging.isEnabled()) {
+    mHedgeBudget.recordCall(added.service, added.arrivedAt, mRandom);
+  }
   startCall(added);
 }
 
--- a/libs/entry/src/EntryWorkerSending.cpp
+++ b/libs/entry/src/EntryWorkerSending.cpp
@@ -88,25 +88,31 @@
     mTables.metrics.count(Counter::LimitedRequests, "call");
   }
   aCall.upstream = choice.address;
+  aCall.attempt = aCall.history.size();
   aCall.history.push_back({ choice.address.name, choice.load, choice.inFlight, now, {} });
   aCall.stage = CallStage::Sending;
   aCall.sentAt = now;
   aCall.loadQueryRounds = 0;
   ++aCall.attempts;
-  aCall.exchange = mUpstreamConnections.start(makeExchange(aCall));
+  scheduleHedge(aCall);
+  aCall.exchange = mUpstreamConnections.start(
+    makeExchange(aCall, choice.address, choice.hasPermit, aCall.attempt));
 }
 
 http::Exchange
-EntryWorker::makeExchange(const Call& aCall)
+EntryWorker::makeExchange(const Call& aCall,
+                          const UpstreamAddress& aUpstream,
+                          bool aHasPermit,
+                          std::size_t aAttempt)
 {
   const auto id = aCall.id;
   const auto timeLeft = aCall.deadline - mTimers.now();
   http::Exchange exchange;
-  exchange.host = QHostAddress(QString::fromStdString(aCall.upstream->host));
-  exchange.port = aCall.upstream->port;
+  exchange.host = QHostAddress(QString::fromStdString(aUpstream.host));
+  exchange.port = aUpstream.port;
   exchange.request = aCall.request;
   mContext.dialect.writeUpstreamHeaders(
-    exchange.request, *aCall.upstream, tenantFieldOf(aCall), timeLeft);
+    exchange.request, aUpstream, tenantFieldOf(aCall), timeLeft);
   exchange.limits.maxBodyBytes = aCall.preset->limits.maxBodyBytes;
   exchange.timeout = aCall.isClaimedOrder() ? timeLeft + kMaxSettleTime : timeLeft;
   exchange.recentlyActiveOnly = aCall.isOrder();
@@ -119,8 +125,8 @@
   // Checked just before the first byte is written: while the connection was opened, the
   // upstream may have refused other calls, or this process may have been paused.
   exchange.canStillSend = [this,
-                           upstream = *aCall.upstream,
-                           hasPermit = aCall.hasPermit,
+                           upstream = aUpstream,
+                           hasPermit = aHasPermit,
                            isClaimedOrder = aCall.isClaimedOrder(),
                            sequence = aCall.claim.sequence,
                            deadline = aCall.deadline] {
@@ -130,17 +136,20 @@
     }
     return !isClaimedOrder || (now < deadline && mTables.orders.markSent(sequence));
   };
-  exchange.done = [this, id](const http::ExchangeResult& aResult) {
-    onExchangeDone(id, aResult);
+  exchange.done = [this, id, aAttempt](const http::ExchangeResult& aResult) {
+    onExchangeDone(id, aAttempt, aResult);
   };
   return exchange;
 }
 
 void
-EntryWorker::onExchangeDone(std::uint64_t aCall, const http::ExchangeResult& aResult)
+EntryWorker::onExchangeDone(std::uint64_t aCall,
+                            std::size_t aAttempt,
+                            const http::ExchangeResult& aResult)
 {
   auto* const call = findCall(aCall);
-  if (call == nullptr) {
+  if (call == nullptr ||
+      (call->hedge.has_value() && onHedgedExchangeDone(*call, aAttempt, aResult))) {
     return;
   }
   logDiscardedResponses(*call->upstream, call->metadata.id, aResult);
@@ -166,6 +175,19 @@
   }
 }
 
+void
+EntryWorker::logUpstreamFailure(const UpstreamAddress& aUpstream,
+                                const std::string& aCallId,
+                                const http::ExchangeResult& aResult)
+{
+  logEvent(LogEvent::UpstreamFailed,
+           { { "id", aCallId },
+             { "upstream", aUpstream.name },
+             { "error", aResult.error.message() },
+             { "may_have_run", aResult.mayHaveRun ? "yes" : "no" },
+             { "detail", detailOf(aResult) } });
+}
+
 void
 EntryWorker::onUpstreamResponse(Call& aCall, const http::Response& aResponse)
 {
@@ -186,6 +208,9 @@
   if (!isError) {
     recordRunToEnd(aCall);
   }
+  if (!isError) {
+    recordHedgeDelay(aCall);
+  }
   endAttempt(aCall, isError ? AttemptOutcome::ErrorResponse : AttemptOutcome::Answered);
   if (isError && tryTakeRetry(aCall)) {
     aCall.stage = CallStage::Waiting;
@@ -227,12 +252,7 @@
     endWithError(aCall, CallError::QueueTimeout);
     return;
   }
-  logEvent(LogEvent::UpstreamFailed,
-           { { "id", aCall.metadata.id },
-             { "upstream", aCall.upstream->name },
-             { "error", error.message() },
-             { "may_have_run", aResult.mayHaveRun ? "yes" : "no" },
-             { "detail", detailOf(aResult) } });
+  logUpstreamFailure(*aCall.upstream, aCall.metadata.id, aResult);
   const bool isOwnLimit = error == ExchangeError::NoConnection;
   aCall.mayHaveRun = aCall.mayHaveRun || aResult.mayHaveRun;
   const auto upstream = *aCall.upstream;
@@ -292,8 +312,8 @@
 {
   const auto now = mTimers.now();
   mTables.upstreams.recordAttemptEnd(*aCall.upstream, aOutcome, now - aCall.sentAt, now);
-  aCall.history.back().outcome = aOutcome;
-  aCall.history.back().endedAt = now;
+  aCall.history[aCall.attempt].outcome = aOutcome;
+  aCall.history[aCall.attempt].endedAt = now;
   aCall.excluded.push_back(aCall.upstream->name);
   aCall.upstream.reset();
 }
--- a/libs/settings/include/settings/EntrySettings.h
+++ b/libs/settings/include/settings/EntrySettings.h
@@ -2,6 +2,7 @@
 
 #include <core/Bytes.h>
 #include <core/Time.h>
+#include <decide/HedgePolicy.h>
 #include <decide/Locality.h>
 #include <settings/CommonSettings.h>
 #include <settings/SettingsParseResult.h>
@@ -23,6 +24,7 @@
   Duration idleTimeout{ 60s };           ///< of a caller's connection between requests
   Duration noticePeriod{ 5s };  ///< how long after SIGTERM connections are accepted
   Duration maxDrainTime{ 60s }; ///< max time from SIGTERM to the exit
+  HedgePolicy hedging;          ///< masticwall-gateway only
 
   Locality locality() const
   {
--- a/libs/tables/include/tables/AdmissionTable.h
+++ b/libs/tables/include/tables/AdmissionTable.h
@@ -49,6 +49,9 @@
   /** Removes a waiting call; false if it is not waiting. */
   bool cancel(const std::string& aService, const AdmissionRequest& aAdmissionRequest);
 
+  /** Whether calls of the service wait. */
+  bool hasWaiting(const std::string& aService) const;
+
   /** The state of all queues, in no particular order. */
   std::vector<QueueState> snapshot() const;
 
--- a/libs/tables/include/tables/UpstreamQuery.h
+++ b/libs/tables/include/tables/UpstreamQuery.h
@@ -18,6 +18,8 @@
   std::vector<std::string> excluded; ///< names of upstreams not to choose
   LatencyLimit limit; ///< of the estimated latency; for the policy EstimatedLatency
   AllowedRegions allowedRegions{}; ///< of upstreams
+  bool isOptional = false;         ///< see CandidateFilter
+  std::string avoidedDataCentre{}; ///< empty: none
 };
 
 } // namespace masticwall
--- a/libs/tables/src/AdmissionTable.cpp
+++ b/libs/tables/src/AdmissionTable.cpp
@@ -47,6 +47,14 @@
   return mQueues[aService].cancel(aAdmissionRequest);
 }
 
+bool
+AdmissionTable::hasWaiting(const std::string& aService) const
+{
+  std::scoped_lock lock(mMutex);
+  const auto it = mQueues.find(aService);
+  return it != mQueues.end() && it->second.hasWaiting();
+}
+
 std::vector<AdmissionTable::QueueState>
 AdmissionTable::snapshot() const
 {
--- a/libs/tables/src/UpstreamTable.cpp
+++ b/libs/tables/src/UpstreamTable.cpp
@@ -257,7 +257,11 @@
 CandidateFilter
 UpstreamTable::filterFor(const UpstreamQuery& aQuery) const
 {
-  return { mMaxInFlight, aQuery.excluded, aQuery.allowedRegions };
+  return { mMaxInFlight,
+           aQuery.excluded,
+           aQuery.allowedRegions,
+           aQuery.isOptional,
+           aQuery.avoidedDataCentre };
 }
 
 bool
--- a/libs/telemetry/include/telemetry/Counter.h
+++ b/libs/telemetry/include/telemetry/Counter.h
@@ -25,13 +25,16 @@
   /** Calls refused for their key, by KeyVerdict: "missing", "malformed", "repeated",
    * "unknown" or "stale". */
   KeyRefusals,
+  /** Late calls, by HedgeVerdict: "sent", or why no hedge was; of those sent also how
+   * they ended: "won", "wasted" or "failed". */
+  Hedges,
   LimitedRequests, ///< to upstreams with a request limit: "call"; "no-permit": none sent
 };
 
 template<>
 struct EnumTable<Counter>
 {
-  static constexpr std::array<EnumName<Counter>, 9> kEntries{ {
+  static constexpr std::array<EnumName<Counter>, 10> kEntries{ {
     { Counter::SourceReads, "masticwall_source_readings_total" },
     { Counter::FeedRequests, "masticwall_feeds_total" },
     { Counter::Retries, "masticwall_retries_total" },
@@ -40,6 +43,7 @@
     { Counter::Quotas, "masticwall_quota_calls_total" },
     { Counter::QuotaMessages, "masticwall_quota_messages_total" },
     { Counter::KeyRefusals, "masticwall_key_refusals_total" },
+    { Counter::Hedges, "masticwall_hedges_total" },
     { Counter::LimitedRequests, "masticwall_limited_requests_total" },
   } };
 };
--- a/libs/telemetry/include/telemetry/LogEvent.h
+++ b/libs/telemetry/include/telemetry/LogEvent.h
@@ -43,6 +43,7 @@
   ServerLimitBad,    ///< an upstream's request limit is no number; it is ignored
   UpstreamCold,      ///< an upstream warms up, and its service limits requests meanwhile
   WarmUpBad,         ///< what an upstream says of its warm-up is no time; it is ignored
+  CallHedged,        ///< a call whose response is late was sent to a second upstream
   SuspectStopped,    ///< not retried: the request is blocked, as it crashed upstreams
   SuspectTried,   ///< sent once although it is blocked, to see whether it still crashes
   SuspectCleared, ///< a blocked request has run to its end and is let through again
@@ -77,7 +78,7 @@
 template<>
 struct EnumTable<LogEvent>
 {
-  static constexpr std::array<EnumName<LogEvent>, 63> kEntries{ {
+  static constexpr std::array<EnumName<LogEvent>, 64> kEntries{ {
     { LogEvent::Started, "started" },
     { LogEvent::Stopped, "stopped" },
     { LogEvent::StopRequested, "stop-requested" },
@@ -112,6 +113,7 @@
     { LogEvent::ServerLimitBad, "server-limit-bad" },
     { LogEvent::UpstreamCold, "upstream-cold" },
     { LogEvent::WarmUpBad, "warm-up-bad" },
+    { LogEvent::CallHedged, "call-hedged" },
     { LogEvent::SuspectStopped, "suspect-stopped" },
     { LogEvent::SuspectTried, "suspect-tried" },
     { LogEvent::SuspectCleared, "suspect-cleared" },
--- a/tests/harness/GatewaySystem.cpp
+++ b/tests/harness/GatewaySystem.cpp
@@ -69,9 +69,12 @@
 {
   writeSettings(aIndex);
   keepLog(aIndex);
-  mGateways[at(aIndex)] = std::make_unique<ChildProcess>(
-    QStringLiteral("masticwall-gateway"),
-    QStringList{ QStringLiteral("--settings"), settingsPath(aIndex) });
+  mGateways[at(aIndex)] =
+    std::make_unique<ChildProcess>(QStringLiteral("masticwall-gateway"),
+                                   QStringList{ QStringLiteral("--settings"),
+                                                settingsPath(aIndex),
+                                                QStringLiteral("--hedge-share"),
+                                                QString::number(mHedgeShare) });
 }
 
 void
--- a/tests/harness/GatewaySystem.h
+++ b/tests/harness/GatewaySystem.h
@@ -67,6 +67,9 @@
     mRevokeMs = aRevokeMs;
   }
 
+  /** The operator's share of hedges, for gateways that are started from now on. */
+  void setHedgeShare(double aShare) { mHedgeShare = aShare; }
+
   /** From its next start on, a gateway has no path to the store. */
   void cutFromStore(int aIndex) { mCutFromStore.insert(aIndex); }
   /** The requests a second that cold upstreams take, in the configurations that are
@@ -168,6 +171,7 @@
   std::set<int> mCutFromStore;
   std::string mTenants;
   bool mFailsClosed = false;
+  double mHedgeShare = 0.0;
   int mRevokeMs = 5000;
   std::string mReadRegions = "null";
   std::map<int, std::string> mZones; ///< by upstream
