--- a/libs/core/include/core/CallError.h
+++ b/libs/core/include/core/CallError.h
@@ -15,6 +15,8 @@
 {
   BadRequest = 1,   ///< malformed request; currently unused
   NoRoute,          ///< no route matches the host, method and path
+  UnknownKey,       ///< no tenant has the key that the call carries, or it carries none
+  OverQuota,        ///< the call's tenant has used up its quota
   MissingKey,       ///< an order without an Idempotency-Key header
   KeyReused,        ///< the idempotency key belongs to a different request
   NotReady,         ///< this process has no configuration (preset) yet
@@ -22,6 +24,7 @@
   QueueTimeout,     ///< the deadline passed before the call was sent to an upstream
   DeadlinePassed,   ///< sent, but no complete response by the deadline
   NoUpstream,       ///< no upstream is available, or none could be connected to
+  Evacuated,        ///< all upstreams leave or are in evacuated data centres
   HeldOff,          ///< every upstream leaves or wants no requests for a time
   Limited,          ///< no upstream takes more requests for now: request limits
   ClaimUnavailable, ///< the shared log could not be read or written in time
@@ -38,9 +41,11 @@
 struct EnumTable<CallError>
 {
   static constexpr const char* kCategory = "call";
-  static constexpr std::array<EnumName<CallError>, 19> kEntries{ {
+  static constexpr std::array<EnumName<CallError>, 22> kEntries{ {
     { CallError::BadRequest, "bad-request" },
     { CallError::NoRoute, "no-route" },
+    { CallError::UnknownKey, "unknown-key" },
+    { CallError::OverQuota, "over-quota" },
     { CallError::MissingKey, "missing-idempotency-key" },
     { CallError::KeyReused, "idempotency-key-reused" },
     { CallError::NotReady, "not-ready" },
@@ -48,6 +53,7 @@
     { CallError::QueueTimeout, "queue-timeout" },
     { CallError::DeadlinePassed, "deadline-passed" },
     { CallError::NoUpstream, "no-upstream" },
+    { CallError::Evacuated, "evacuated" },
     { CallError::HeldOff, "held-off" },
     { CallError::Limited, "limited" },
     { CallError::ClaimUnavailable, "claim-unavailable" },
--- a/libs/decide/include/decide/Preset.h
+++ b/libs/decide/include/decide/Preset.h
@@ -2,14 +2,20 @@
 
 #include <array>
 #include <cstdint>
+#include <decide/KeyPolicy.h>
+#include <decide/LargestTenants.h>
 #include <decide/Limits.h>
 #include <decide/LinkBudget.h>
 #include <decide/ProbeBudget.h>
+#include <decide/QuotaTolerance.h>
 #include <decide/RankPolicy.h>
 #include <decide/Route.h>
 #include <decide/RouteIndex.h>
 #include <decide/Service.h>
 #include <decide/ServiceTargets.h>
+#include <decide/Tenant.h>
+#include <decide/TenantIndex.h>
+#include <decide/WarmUpTolerance.h>
 #include <vector>
 
 namespace masticwall {
@@ -28,14 +34,23 @@
   LinkBudget link;       ///< for calls to other regions
   std::vector<Service> services;
   std::vector<Route> routes;
-  RouteIndex routeIndex;  ///< built from `routes` by indexRoutes()
-  ServiceTargets targets; ///< of latency; built likewise
+  std::vector<Tenant> tenants; ///< empty: calls need no key
+  KeyPolicy keys;
+  QuotaTolerance quota;
+  WarmUpTolerance warmUp;
+  RouteIndex routeIndex;         ///< built from `routes` by indexRoutes()
+  ServiceTargets targets;        ///< of latency; built likewise
+  TenantIndex tenantIndex;       ///< built from `tenants` likewise
+  LargestTenants largestTenants; ///< built likewise
 
-  /** Builds the indices; call it after the last change to `routes`. */
+  /** Builds the indices; call it after the last change to `routes` and
+   * `tenants`. */
   void indexRoutes()
   {
     routeIndex = RouteIndex(routes);
-    targets = ServiceTargets(routes);
+    targets = ServiceTargets(routes, tenants);
+    tenantIndex = TenantIndex(tenants);
+    largestTenants = LargestTenants(tenants);
   }
 };
 
--- a/libs/decide/include/decide/Route.h
+++ b/libs/decide/include/decide/Route.h
@@ -2,6 +2,7 @@
 
 #include <core/Rank.h>
 #include <core/Time.h>
+#include <decide/AllowedRegions.h>
 #include <decide/WeightedService.h>
 #include <string>
 #include <vector>
@@ -23,6 +24,8 @@
   bool requiresClaim = true; ///< orders need an idempotency key, claimed before they run
   int attempts = 3;          ///< max attempts of one call, with the first
   Duration target{ 0 };      ///< max latency that is wanted, from arrival; 0: none
+  bool isPublic = false;     ///< calls need no tenant's key
+  AllowedRegions allowedRegions{}; ///< of upstreams that may run the calls
 };
 
 } // namespace masticwall
--- a/libs/decide/include/decide/UpstreamPool.h
+++ b/libs/decide/include/decide/UpstreamPool.h
@@ -3,7 +3,10 @@
 #include <algorithm>
 #include <decide/AgedLoad.h>
 #include <decide/AttemptOutcome.h>
+#include <decide/CandidateFinder.h>
 #include <decide/CandidateSelection.h>
+#include <decide/ColdUpstreams.h>
+#include <decide/DataCentreNames.h>
 #include <decide/EstimatedLatency.h>
 #include <decide/FewestInFlight.h>
 #include <decide/HoldOffs.h>
@@ -11,14 +14,15 @@
 #include <decide/LeavingInstances.h>
 #include <decide/LoadBalancingPolicy.h>
 #include <decide/LoadQueryScope.h>
+#include <decide/OverloadTrials.h>
 #include <decide/PermitCandidate.h>
 #include <decide/RequestLimits.h>
+#include <decide/ScoredUpstream.h>
 #include <decide/ServiceAvailability.h>
 #include <decide/SlotShare.h>
 #include <limits>
-#include <memory>
 #include <string_view>
-#include <vector>
+#include <utility>
 
 namespace masticwall {
 
@@ -38,24 +42,31 @@
    */
   void update(const std::vector<UpstreamAddress>& aAddresses, int aSlots, Instant aNow);
 
+  /** Sets how cold upstreams are limited, from the next update() on. */
+  void configureWarmUp(const WarmUpPolicy& aPolicy) { mColdUpstreams.configure(aPolicy); }
+
+  /** The instances that update() has found to be cold since the last call. */
+  std::vector<UpstreamAddress> takeNewlyCold() { return std::exchange(mNewlyCold, {}); }
+
   /**
-   * Selects an upstream in `aRegion` (empty: in any) by `aPolicy` and counts a call in
-   * flight to it; null if none is eligible. EstimatedLatency selects at random here, as
-   * it needs a Locality; use chooseLowestLatency() for it. Not eligible are upstreams
-   * that are leaving, held off, or named in `aExcluded` (as already tried for this call),
-   * those with `aMaxInFlight` calls (fewer during slow start), and slow ones between
-   * trial calls, and those with a request limit and no permit left. Upstreams in back-off
-   * are used only if no other is eligible.
+   * Sends no requests to the upstreams in `aDataCentres`, also not to those that are
+   * listed later. Upstreams in others that were evacuated go through slow start.
+   */
+  void setEvacuated(const DataCentreNames& aDataCentres, Instant aNow);
+
+  /**
+   * Selects an eligible upstream (see CandidateFinder) in `aRegion` (empty: in any) by
+   * `aPolicy` and counts a call in flight to it; null if there is none. EstimatedLatency
+   * selects at random here, as it needs a Locality; use chooseLowestLatency() for it.
    */
   template<RandomSource R>
   const UpstreamState* choose(LoadBalancingPolicy aPolicy,
                               std::string_view aRegion,
-                              int aMaxInFlight,
-                              const std::vector<std::string>& aExcluded,
+                              const CandidateFilter& aFilter,
                               Instant aNow,
                               R& aRandom)
   {
-    auto candidates = findCandidates(aRegion, aMaxInFlight, aExcluded, aNow);
+    auto candidates = finder().find(aRegion, aFilter, aNow);
     if (candidates.empty()) {
       return nullptr;
     }
@@ -66,25 +77,31 @@
 
   /**
    * Selects the eligible upstream, in any region, with the lowest estimated latency
-   * within `aLimit` and counts a call in flight to it; null if there is none.
+   * within `aLimit`, or now and then an idle one for a trial beyond it, and counts a call
+   * in flight to it; null if there is none. See OverloadTrials.
    */
   template<RandomSource R>
   const UpstreamState* chooseLowestLatency(const Locality& aLocality,
                                            const LatencyLimit& aLimit,
-                                           int aMaxInFlight,
-                                           const std::vector<std::string>& aExcluded,
+                                           const CandidateFilter& aFilter,
                                            Instant aNow,
                                            R& aRandom)
   {
     UpstreamState* best = nullptr;
     auto bestScore = std::numeric_limits<double>::max();
-    const auto candidates = findCandidates({}, aMaxInFlight, aExcluded, aNow);
-    for (const auto& it : scoreCandidates(candidates, aLocality, aNow, aRandom)) {
+    const auto candidates = finder().find({}, aFilter, aNow);
+    const auto scored = scoreCandidates(candidates, estimator(aLocality), aNow, aRandom);
+    for (const auto& it : scored) {
       if (it.score < bestScore && isWithin(it.estimate, aLimit)) {
         best = it.state;
         bestScore = it.score;
       }
     }
+    if (best != nullptr) {
+      mOverloadTrials.onSent();
+    } else if (aLimit.maxTotal > Duration{ 0 }) {
+      best = tryStartTrial(scored, aNow);
+    }
     if (best != nullptr) {
       startCall(*best, aNow);
     }
@@ -92,30 +109,29 @@
   }
 
   /** True if any upstream is eligible, whatever its estimated latency. */
-  bool hasCandidate(int aMaxInFlight,
-                    const std::vector<std::string>& aExcluded,
-                    Instant aNow)
+  bool hasCandidate(const CandidateFilter& aFilter, Instant aNow) const
   {
-    return !findCandidates({}, aMaxInFlight, aExcluded, aNow).empty();
+    return !finder().find({}, aFilter, aNow).empty();
   }
 
   /**
    * Of the eligible upstreams with the lowest estimated latency, as many as `aScope`
    * says, those whose load report is older than `aMaxReportAge`. A load query counts as a
-   * request, so those with a request limit are left out.
+   * request, so those that state a request limit are left out. Of the cold ones without a
+   * permit the best is asked beside the others, which shows when it is warm. As responses
+   * to calls don't tell that an upstream has become cold, those that may are asked again
+   * after a while; see ColdUpstreams::mustAskAgain().
    */
   template<RandomSource R>
-  std::vector<UpstreamAddress> staleTopCandidates(
-    const Locality& aLocality,
-    int aMaxInFlight,
-    const std::vector<std::string>& aExcluded,
-    const LoadQueryScope& aScope,
-    Duration aMaxReportAge,
-    Instant aNow,
-    R& aRandom)
+  std::vector<UpstreamAddress> staleTopCandidates(const Locality& aLocality,
+                                                  const CandidateFilter& aFilter,
+                                                  const LoadQueryScope& aScope,
+                                                  Duration aMaxReportAge,
+                                                  Instant aNow,
+                                                  R& aRandom) const
   {
     auto ranked = scoreCandidates(
-      findCandidates({}, aMaxInFlight, aExcluded, aNow), aLocality, aNow, aRandom);
+      finder().findForLoadQueries(aFilter, aNow), estimator(aLocality), aNow, aRandom);
     std::sort(ranked.begin(),
               ranked.end(),
               [](const ScoredUpstream& aLeft, const ScoredUpstream& aRight) {
@@ -124,14 +140,21 @@
     std::vector<UpstreamAddress> stale;
     std::size_t n = 0;
     int slots = 0;
+    bool hasCold = false;
     for (const auto& it : ranked) {
       if (n >= aScope.upstreams && slots >= aScope.slots) {
         break;
       }
-      ++n;
-      slots += it.state->slots;
+      const bool isWithoutPermit = !it.state->acceptsRequests(aNow);
+      if (isWithoutPermit && std::exchange(hasCold, true)) {
+        continue;
+      }
+      n += isWithoutPermit ? 0 : 1;
+      slots += isWithoutPermit ? 0 : it.state->slots;
       const bool isLimited = it.state->requestLimit.has_value();
-      if (!isLimited && aNow - it.state->load.receivedAt > aMaxReportAge) {
+      const bool isStale = aNow - it.state->load.receivedAt > aMaxReportAge ||
+                           mColdUpstreams.mustAskAgain(it.state->healthAt, aNow);
+      if (!isLimited && isStale) {
         stale.push_back(it.state->address);
       }
     }
@@ -144,30 +167,32 @@
    * no permit left. Empty if the best one is eligible, or none of them may be asked for.
    */
   template<RandomSource R>
-  std::optional<PermitCandidate> permitCandidate(
-    const Locality& aLocality,
-    const LatencyLimit& aLimit,
-    Rank aRank,
-    int aMaxInFlight,
-    const std::vector<std::string>& aExcluded,
-    Instant aNow,
-    R& aRandom)
+  std::optional<PermitCandidate> permitCandidate(const Locality& aLocality,
+                                                 const LatencyLimit& aLimit,
+                                                 Rank aRank,
+                                                 const CandidateFilter& aFilter,
+                                                 Instant aNow,
+                                                 R& aRandom) const
   {
-    const auto limited = findPermitCandidates(aRank, aMaxInFlight, aExcluded, aNow);
+    if (mRequestLimits.isEmpty() && mColdUpstreams.isEmpty()) {
+      return std::nullopt;
+    }
+    const auto limited = finder().findLimited(aRank, aFilter, aNow);
     if (limited.empty()) {
       return std::nullopt;
     }
+    const auto scorer = estimator(aLocality);
     auto bestScore = std::numeric_limits<double>::max();
     bool hasAlternative = false;
-    const auto eligible = findCandidates({}, aMaxInFlight, aExcluded, aNow);
-    for (const auto& it : scoreCandidates(eligible, aLocality, aNow, aRandom)) {
+    const auto eligible = finder().find({}, aFilter, aNow);
+    for (const auto& it : scoreCandidates(eligible, scorer, aNow, aRandom)) {
       if (isWithin(it.estimate, aLimit)) {
         hasAlternative = hasAlternative || it.estimate.queueing <= 0.0;
         bestScore = std::min(bestScore, it.score);
       }
     }
     const UpstreamState* best = nullptr;
-    for (const auto& it : scoreCandidates(limited, aLocality, aNow, aRandom)) {
+    for (const auto& it : scoreCandidates(limited, scorer, aNow, aRandom)) {
       if (it.score < bestScore && isWithin(it.estimate, aLimit)) {
         best = it.state;
         bestScore = it.score;
@@ -176,7 +201,8 @@
     if (best == nullptr) {
       return std::nullopt;
     }
-    return PermitCandidate{ best->address, *best->requestLimit, hasAlternative };
+    const auto limit = *best->limitAt(aNow);
+    return PermitCandidate{ best->address, limit, hasAlternative, best->isCold(aNow) };
   }
 
   /** Adds the reply to a request for permits for this instance; see PermitStock::add().
@@ -238,58 +264,59 @@
                           Instant aSentAt,
                           Instant aNow);
 
+  /** Applies a health response of this instance, which states how long it is still cold,
+   * or nothing (zero); see ColdUpstreams::record(). */
+  LimitChange recordWarmUp(const UpstreamAddress& aUpstream,
+                           Duration aLeft,
+                           Instant aNow);
+
+  /** Whether this instance is listed and takes a load query; see UpstreamState. */
+  bool acceptsLoadQuery(const UpstreamAddress& aUpstream, Instant aNow) const;
+
   /** Whether this instance is listed and takes a request, with a permit or without. */
   bool acceptsRequest(const UpstreamAddress& aUpstream,
                       bool aHasPermit,
                       Instant aNow) const;
 
-  /** Whether a call of `aRank` can be sent, at once or after a request for a permit. */
-  ServiceAvailability availability(Rank aRank, Instant aNow) const;
+  /** Whether a call of `aRank` that may run in `aAllowedRegions` can be sent, at once or
+   * after a request for a permit. */
+  ServiceAvailability availability(Rank aRank,
+                                   Instant aNow,
+                                   const AllowedRegions& aAllowedRegions = {}) const;
 
   /** The regions that have upstreams, after `aLocalRegion`, which always comes first. */
   std::vector<std::string> regions(std::string_view aLocalRegion) const;
 
-  /** Median of the upstreams' mean latencies; a default while too few have samples. */
-  Duration typicalProcessingTime() const;
+  /** See SlowUpstreams::typicalProcessingTime(). */
+  Duration typicalProcessingTime() const
+  {
+    return mSlowUpstreams.typicalProcessingTime();
+  }
+
+  /** Whether upstreams tell their load, and there are fewer calls than slots at those
+   * that lately did, on average. */
+  bool hasRoom() const { return mMeanLoad.has_value() && *mMeanLoad < 1.0; }
+
+  /** Whether a load report of this instance is known. */
+  bool hasReport(const UpstreamAddress& aUpstream) const;
 
-  /** Total slots of the upstreams in `aRegion` that are not leaving. */
+  /** Total slots of the upstreams in `aRegion` (empty: in all) that are neither leaving
+   * nor evacuated. */
   int slotsIn(std::string_view aRegion) const;
 
   /** A copy of the state of every upstream. */
   std::vector<UpstreamState> snapshot() const;
 
 private:
-  /** Scores are multiplied by a random factor from 1 up to this. */
-  static constexpr double kMaxJitterFactor = 1.2;
+  CandidateFinder finder() const { return { mStates, mSlowUpstreams }; }
 
-  /** An upstream and the estimated latency of a call there. */
-  struct ScoredUpstream
+  /** `aLocality` must outlive the result. */
+  EstimatedLatency estimator(const Locality& aLocality) const
   {
-    UpstreamState* state = nullptr;
-    LatencyEstimate estimate;
-    double score = 0.0; ///< the sum of the estimate's parts, with jitter; in seconds
-  };
-
-  template<RandomSource R>
-  std::vector<ScoredUpstream> scoreCandidates(
-    const std::vector<UpstreamState*>& aCandidates,
-    const Locality& aLocality,
-    Instant aNow,
-    R& aRandom)
-  {
-    const EstimatedLatency estimator{ aLocality,
-                                      typicalProcessingTime(),
-                                      mMeanProcessingTimePercent };
-    // Without jitter, all processes with the same load reports would select the same
-    // upstream.
-    std::uniform_real_distribution<double> jitter(1.0, kMaxJitterFactor);
-    std::vector<ScoredUpstream> scored;
-    for (auto* const it : aCandidates) {
-      const auto estimate = estimator.estimate(*it, aNow);
-      const auto sum = estimate.queueing + estimate.processing + estimate.distancePenalty;
-      scored.push_back({ it, estimate, sum * jitter(aRandom) });
-    }
-    return scored;
+    return { aLocality,
+             typicalProcessingTime(),
+             mMeanProcessingTimePercent,
+             mMeanLoad.value_or(0.0) };
   }
 
   bool isWithin(const LatencyEstimate& aEstimate, const LatencyLimit& aLimit) const
@@ -326,50 +353,39 @@
     return chooseRandom(aCandidates, aRandom);
   }
 
-  /** The upstreams that are eligible for a call; see choose(). */
-  std::vector<UpstreamState*> findCandidates(std::string_view aRegion,
-                                             int aMaxInFlight,
-                                             const std::vector<std::string>& aExcluded,
-                                             Instant aNow);
-
-  /** The upstreams for which permits may be requested; otherwise eligible. */
-  std::vector<UpstreamState*> findPermitCandidates(
-    Rank aRank,
-    int aMaxInFlight,
-    const std::vector<std::string>& aExcluded,
-    Instant aNow);
-
-  /** Whether the upstream has room for a call that has not tried it. */
-  bool hasRoom(const UpstreamState& aState,
-               int aMaxInFlight,
-               const std::vector<std::string>& aExcluded,
-               Instant aNow) const;
+  /** Sets whether the upstream's data centre is evacuated. */
+  void setEvacuated(UpstreamState& aState, Instant aNow) const;
+
+  bool hasCallInFlight() const;
+
+  /** The upstream that a call is sent to beyond its limit; null if it is to be refused.
+   */
+  UpstreamState* tryStartTrial(const std::vector<ScoredUpstream>& aScored, Instant aNow);
+
+  /** `aWasRunning`: the instance was listed before, so that VMs may be calling it. */
+  void setColdUntil(UpstreamState& aState,
+                    Instant aUntil,
+                    bool aWasRunning,
+                    Instant aNow) const;
 
   /** Counts a call in flight, and takes a permit if one is needed. */
   void startCall(UpstreamState& aState, Instant aNow);
 
-  UpstreamState* find(std::string_view aName);
+  UpstreamState* find(std::string_view aName) const;
   UpstreamState* findInstance(const UpstreamAddress& aUpstream) const;
 
-  /** True if the mean latency exceeds kSlowFactor times the median of the upstreams. */
-  bool isSlow(const UpstreamState& aState) const;
-
-  /** If the upstream is slow, bars further calls to it until its next trial call. */
-  void scheduleNextTrial(UpstreamState& aState, Instant aNow);
-  /**
-   * Adds a sample to the mean latency. The first sample, and the first one of a slow
-   * upstream that is no longer slow, replace the mean.
-   */
-  void recordLatency(UpstreamState& aState, Duration aLatency);
-  void updateMedianLatency();
-
-  std::vector<std::unique_ptr<UpstreamState>> mStates;
+  UpstreamStates mStates;
+  SlowUpstreams mSlowUpstreams;
+  OverloadTrials mOverloadTrials;
   LeavingInstances mLeavingInstances;
+  DataCentreNames mEvacuated;
   HoldOffs mHoldOffs;
   RequestLimits mRequestLimits;
-  Duration mMedianLatency{ 0 }; ///< of the upstreams' mean latencies; 0: too few samples
+  ColdUpstreams mColdUpstreams;
+  std::vector<UpstreamAddress> mNewlyCold;
   double mMeanProcessingTimePercent =
     100.0; ///< moving average of LoadReport::processingTimePercent
+  std::optional<double> mMeanLoad; ///< moving average of reported calls per slot
 };
 
 } // namespace masticwall
--- a/libs/decide/src/UpstreamPool.cpp
+++ b/libs/decide/src/UpstreamPool.cpp
@@ -1,3 +1,5 @@
+#include <decide/FailureBackOff.h>
+#include <decide/SlowStart.h>
 #include <decide/UpstreamPool.h>
 #include <utility>
 
@@ -5,55 +7,21 @@
 
 namespace {
 
-constexpr Duration kInitialBackOff = std::chrono::milliseconds(100);
-constexpr Duration kMaxBackOff = std::chrono::seconds(5);
-constexpr int kMaxBackOffDoublings = 6; ///< reaches kMaxBackOff; bounds the shift
-constexpr Duration kShedBackOff = std::chrono::milliseconds(20);
-constexpr Duration kSlowStartPeriod = std::chrono::seconds(2);
-
-/** Moving averages: a new sample has a weight of 1 / divisor. */
-constexpr int kLatencyWeightDivisor = 8;
+/** In the moving average of the load a new report has a weight of 1 / divisor. */
 constexpr int kLoadWeightDivisor = 4;
 
 /** Weight of a new sample in the moving average of the reported processing times. */
 constexpr double kProcessingTimePercentWeight = 1.0 / 32.0;
 
-/** Used while too few upstreams have latency samples. */
-constexpr Duration kDefaultProcessingTime = std::chrono::milliseconds(100);
-
-/** An upstream is slow if its mean latency exceeds this multiple of the median. */
-constexpr int kSlowFactor = 3;
-/** Fewer samples don't make an upstream slow, nor count for the median. */
-constexpr int kMinLatencySamples = 3;
-constexpr std::size_t kMinUpstreamsForMedian = 3;
-
-/** Failures in a row, of any kind, from which a 5xx response starts a back-off. */
-constexpr int kFailuresToBackOffOnError = 2;
+/** Weight of a new sample in the moving average of the load of all upstreams. */
+constexpr double kMeanLoadWeight = 1.0 / 32.0;
 
-/** A slow upstream gets one call per period from this process, to detect its recovery. */
-constexpr Duration kTrialPeriod = std::chrono::seconds(2);
+/** An older load report does not tell whether an upstream has a slot free. */
+constexpr Duration kMaxReportAgeForTrial = std::chrono::seconds(1);
 
-Duration
-backOffAfter(int aFailuresInARow)
-{
-  const auto doublings = std::min(aFailuresInARow - 1, kMaxBackOffDoublings);
-  return std::min(kInitialBackOff * (1 << doublings), kMaxBackOff);
-}
-
-/**
- * Limit of calls in flight to an upstream. During slow start it rises from one call
- * towards one more than the upstream's slots; afterwards it is `aMaxInFlight`.
- */
-int
-slowStartLimit(const UpstreamState& aState, int aMaxInFlight, Instant aNow)
-{
-  const auto age = std::max(Duration{ 0 }, aNow - aState.slowStartAt);
-  if (age >= kSlowStartPeriod) {
-    return aMaxInFlight;
-  }
-  return std::min<int>(aMaxInFlight,
-                       1 + static_cast<int>(aState.slots * age / kSlowStartPeriod));
-}
+/** No permits are requested so soon after a running upstream has become cold: other VMs
+ * that don't know yet still send calls. */
+constexpr Duration kPauseAtWarmUp = std::chrono::milliseconds(500);
 
 } // namespace
 
@@ -66,6 +34,8 @@
   mLeavingInstances.onListed(aAddresses, aNow);
   mHoldOffs.removeEnded(aNow);
   mRequestLimits.onListed(aAddresses, aNow);
+  const auto newlyCold = mColdUpstreams.onListed(aAddresses, aNow);
+  mNewlyCold.insert(mNewlyCold.end(), newlyCold.begin(), newlyCold.end());
   std::vector<std::unique_ptr<UpstreamState>> states;
   for (const auto& it : aAddresses) {
     const auto known =
@@ -78,18 +48,42 @@
     } else {
       state = std::make_unique<UpstreamState>();
       // Upstreams of the first list were running before this process: no slow start.
-      state->slowStartAt = isFirstList ? aNow - kSlowStartPeriod : aNow;
+      state->slowStartAt = isFirstList ? aNow - SlowStart::kPeriod : aNow;
     }
     state->address = it;
     state->slots = std::max(1, it.slots > 0 ? it.slots : aSlots);
     state->leaving = mLeavingInstances.contains(it);
+    setEvacuated(*state, aNow);
     state->heldOffUntil = std::max(state->heldOffUntil, mHoldOffs.until(it));
     state->requestLimit = mRequestLimits.find(it);
+    const bool wasRunning = known != mStates.end();
+    setColdUntil(*state, mColdUpstreams.coldUntil(it), wasRunning, aNow);
     states.push_back(std::move(state));
   }
   mStates = std::move(states);
 }
 
+void
+UpstreamPool::setEvacuated(const DataCentreNames& aDataCentres, Instant aNow)
+{
+  if (aDataCentres == mEvacuated) {
+    return;
+  }
+  mEvacuated = aDataCentres;
+  for (const auto& it : mStates) {
+    setEvacuated(*it, aNow);
+  }
+}
+
+void
+UpstreamPool::setEvacuated(UpstreamState& aState, Instant aNow) const
+{
+  const bool isEvacuated = mEvacuated.count(aState.address.dataCentre) > 0;
+  if (std::exchange(aState.evacuated, isEvacuated) && !isEvacuated) {
+    aState.slowStartAt = aNow;
+  }
+}
+
 void
 UpstreamPool::recordAttemptEnd(std::string_view aName,
                                AttemptOutcome aOutcome,
@@ -101,30 +95,26 @@
     return;
   }
   state->inFlight = std::max(0, state->inFlight - 1);
+  const bool isTrial = std::exchange(state->isOnTrial, false);
   switch (aOutcome) {
     case AttemptOutcome::Answered:
-      state->failuresInARow = 0;
-      state->backOffUntil = Instant{};
-      recordLatency(*state, aLatency);
+      FailureBackOff::onAnswered(*state);
+      mSlowUpstreams.recordAnswer(*state, aLatency, mStates);
+      if (isTrial) {
+        mSlowUpstreams.recordTrialAnswer(aLatency, mStates);
+      }
       return;
     case AttemptOutcome::ErrorResponse:
-      // A single error may be caused by the request, consecutive ones by the upstream.
       // The latency is not recorded: errors are often fast and don't show the normal
       // latency.
-      ++state->failuresInARow;
-      if (state->failuresInARow >= kFailuresToBackOffOnError) {
-        state->backOffUntil =
-          aNow + backOffAfter(state->failuresInARow - kFailuresToBackOffOnError + 1);
-      }
+      FailureBackOff::onErrorResponse(*state, aNow);
       return;
     case AttemptOutcome::Shed:
-      state->backOffUntil = aNow + kShedBackOff;
+      FailureBackOff::onShed(*state, aNow);
       return;
     case AttemptOutcome::Failed:
-      // A fast failure must not lower the mean latency.
-      recordLatency(*state, std::max(aLatency, state->meanLatency));
-      ++state->failuresInARow;
-      state->backOffUntil = aNow + backOffAfter(state->failuresInARow);
+      mSlowUpstreams.recordFailure(*state, aLatency, mStates);
+      FailureBackOff::onFailure(*state, aNow);
       return;
     case AttemptOutcome::Cancelled:
       return;
@@ -139,6 +129,8 @@
     state->slots = aLoad.slots > 0 ? aLoad.slots : state->slots;
     const auto load = static_cast<double>(aLoad.inUse + aLoad.queued) / state->slots;
     state->meanLoad += (load - state->meanLoad) / kLoadWeightDivisor;
+    const auto meanLoad = mMeanLoad.value_or(load);
+    mMeanLoad = meanLoad + kMeanLoadWeight * (load - meanLoad);
     mMeanProcessingTimePercent +=
       kProcessingTimePercentWeight *
       (aLoad.processingTimePercent - mMeanProcessingTimePercent);
@@ -149,8 +141,7 @@
 UpstreamPool::reportUnreachable(std::string_view aName, Instant aNow)
 {
   if (auto* const state = find(aName)) {
-    ++state->failuresInARow;
-    state->backOffUntil = aNow + backOffAfter(state->failuresInARow);
+    FailureBackOff::onFailure(*state, aNow);
   }
 }
 
@@ -188,6 +179,37 @@
   return change;
 }
 
+LimitChange
+UpstreamPool::recordWarmUp(const UpstreamAddress& aUpstream, Duration aLeft, Instant aNow)
+{
+  const auto change = mColdUpstreams.record(aUpstream, aLeft, aNow);
+  if (auto* const state = findInstance(aUpstream)) {
+    state->healthAt = aNow;
+    setColdUntil(*state, mColdUpstreams.coldUntil(aUpstream), true, aNow);
+  }
+  return change;
+}
+
+void
+UpstreamPool::setColdUntil(UpstreamState& aState,
+                           Instant aUntil,
+                           bool aWasRunning,
+                           Instant aNow) const
+{
+  if (aWasRunning && !aState.isCold(aNow) && aUntil > aNow) {
+    aState.permits.postponeRequests(aNow + kPauseAtWarmUp);
+  }
+  aState.coldUntil = aUntil;
+  aState.warmUpPerSecond = mColdUpstreams.policy().perSecond;
+}
+
+bool
+UpstreamPool::acceptsLoadQuery(const UpstreamAddress& aUpstream, Instant aNow) const
+{
+  const auto* const state = findInstance(aUpstream);
+  return state != nullptr && state->acceptsLoadQueries(aNow);
+}
+
 bool
 UpstreamPool::acceptsRequest(const UpstreamAddress& aUpstream,
                              bool aHasPermit,
@@ -195,22 +217,28 @@
 {
   const auto* const state = findInstance(aUpstream);
   return state != nullptr && state->isOpen(aNow) &&
-         (aHasPermit || !state->requestLimit.has_value());
+         (aHasPermit || !state->limitAt(aNow).has_value());
 }
 
 ServiceAvailability
-UpstreamPool::availability(Rank aRank, Instant aNow) const
+UpstreamPool::availability(Rank aRank,
+                           Instant aNow,
+                           const AllowedRegions& aAllowedRegions) const
 {
   ServiceAvailability availability;
   for (const auto& it : mStates) {
+    if (!aAllowedRegions.allows(it->address.region)) {
+      continue;
+    }
     if (it->acceptsRequests(aNow) || it->mayRequestPermit(aRank, aNow)) {
       return { true, std::nullopt, false };
     }
-    if (it->leaving) {
+    if (!it->isInUse()) {
+      availability.isEvacuated = availability.isEvacuated || !it->leaving;
       continue;
     }
     auto nextAt = it->heldOffUntil;
-    if (it->requestLimit.has_value()) {
+    if (it->limitAt(aNow).has_value()) {
       availability.isLimited = true;
       nextAt = std::max(nextAt, it->permits.nextRequestAt(aRank));
     }
@@ -219,6 +247,13 @@
   return availability;
 }
 
+bool
+UpstreamPool::hasReport(const UpstreamAddress& aUpstream) const
+{
+  const auto* const state = findInstance(aUpstream);
+  return state != nullptr && state->hasReported();
+}
+
 std::vector<std::string>
 UpstreamPool::regions(std::string_view aLocalRegion) const
 {
@@ -237,7 +272,8 @@
 {
   int n = 0;
   for (const auto& it : mStates) {
-    n += it->leaving || it->address.region != aRegion ? 0 : it->slots;
+    const bool isInRegion = aRegion.empty() || it->address.region == aRegion;
+    n += it->isInUse() && isInRegion ? it->slots : 0;
   }
   return n;
 }
@@ -253,122 +289,47 @@
   return states;
 }
 
-Duration
-UpstreamPool::typicalProcessingTime() const
+bool
+UpstreamPool::hasCallInFlight() const
 {
-  return mMedianLatency > Duration{ 0 } ? mMedianLatency : kDefaultProcessingTime;
+  return std::any_of(mStates.begin(), mStates.end(), [](const auto& aState) {
+    return aState->inFlight > 0;
+  });
 }
 
-std::vector<UpstreamState*>
-UpstreamPool::findCandidates(std::string_view aRegion,
-                             int aMaxInFlight,
-                             const std::vector<std::string>& aExcluded,
-                             Instant aNow)
+UpstreamState*
+UpstreamPool::tryStartTrial(const std::vector<ScoredUpstream>& aScored, Instant aNow)
 {
-  std::vector<UpstreamState*> available;
-  std::vector<UpstreamState*> backingOff;
-  for (const auto& it : mStates) {
-    const bool isInRegion = aRegion.empty() || it->address.region == aRegion;
-    if (isInRegion && it->acceptsRequests(aNow) &&
-        hasRoom(*it, aMaxInFlight, aExcluded, aNow)) {
-      (it->backOffUntil > aNow ? backingOff : available).push_back(it.get());
+  const auto isReported = [aNow](const ScoredUpstream& aIt) {
+    return aNow - aIt.state->load.receivedAt <= kMaxReportAgeForTrial;
+  };
+  const bool isBlind = std::none_of(aScored.begin(), aScored.end(), isReported);
+  const ScoredUpstream* best = nullptr;
+  for (const auto& it : aScored) {
+    const bool isIdle = isBlind || (isReported(it) && it.estimate.queueing <= 0.0);
+    if (isIdle && (best == nullptr || it.score < best->score)) {
+      best = &it;
     }
   }
-  return available.empty() ? backingOff : available;
-}
-
-std::vector<UpstreamState*>
-UpstreamPool::findPermitCandidates(Rank aRank,
-                                   int aMaxInFlight,
-                                   const std::vector<std::string>& aExcluded,
-                                   Instant aNow)
-{
-  std::vector<UpstreamState*> candidates;
-  if (mRequestLimits.isEmpty()) {
-    return candidates;
-  }
-  for (const auto& it : mStates) {
-    if (it->mayRequestPermit(aRank, aNow) && it->backOffUntil <= aNow &&
-        hasRoom(*it, aMaxInFlight, aExcluded, aNow)) {
-      candidates.push_back(it.get());
-    }
+  if (best == nullptr || hasCallInFlight() || !mOverloadTrials.tryStart(aNow)) {
+    return nullptr;
   }
-  return candidates;
-}
-
-bool
-UpstreamPool::hasRoom(const UpstreamState& aState,
-                      int aMaxInFlight,
-                      const std::vector<std::string>& aExcluded,
-                      Instant aNow) const
-{
-  const auto& name = aState.address.name;
-  const bool isExcluded =
-    std::find(aExcluded.begin(), aExcluded.end(), name) != aExcluded.end();
-  const bool isBetweenTrials =
-    isSlow(aState) && (aState.inFlight > 0 || aNow < aState.nextTrialAt);
-  return !isExcluded && !isBetweenTrials &&
-         aState.inFlight < slowStartLimit(aState, aMaxInFlight, aNow);
+  best->state->isOnTrial = true;
+  return best->state;
 }
 
 void
 UpstreamPool::startCall(UpstreamState& aState, Instant aNow)
 {
   ++aState.inFlight;
-  scheduleNextTrial(aState, aNow);
-  if (aState.requestLimit.has_value()) {
+  mSlowUpstreams.scheduleNextTrial(aState, aNow);
+  if (aState.limitAt(aNow).has_value()) {
     aState.permits.tryTake(aNow);
   }
 }
 
-bool
-UpstreamPool::isSlow(const UpstreamState& aState) const
-{
-  return aState.latencySamples >= kMinLatencySamples && mMedianLatency > Duration{ 0 } &&
-         aState.meanLatency > kSlowFactor * mMedianLatency;
-}
-
-void
-UpstreamPool::scheduleNextTrial(UpstreamState& aState, Instant aNow)
-{
-  if (isSlow(aState)) {
-    aState.nextTrialAt = aNow + kTrialPeriod;
-  }
-}
-
-void
-UpstreamPool::recordLatency(UpstreamState& aState, Duration aLatency)
-{
-  const bool hasRecovered = isSlow(aState) && aLatency <= kSlowFactor * mMedianLatency;
-  if (hasRecovered || aState.latencySamples == 0) {
-    aState.meanLatency = aLatency;
-  } else {
-    aState.meanLatency += (aLatency - aState.meanLatency) / kLatencyWeightDivisor;
-  }
-  ++aState.latencySamples;
-  updateMedianLatency();
-}
-
-void
-UpstreamPool::updateMedianLatency()
-{
-  std::vector<Duration> means;
-  for (const auto& it : mStates) {
-    if (it->latencySamples >= kMinLatencySamples) {
-      means.push_back(it->meanLatency);
-    }
-  }
-  if (means.size() < kMinUpstreamsForMedian) {
-    mMedianLatency = Duration{ 0 };
-    return;
-  }
-  const auto middle = means.begin() + static_cast<std::ptrdiff_t>(means.size() / 2);
-  std::nth_element(means.begin(), middle, means.end());
-  mMedianLatency = *middle;
-}
-
 UpstreamState*
-UpstreamPool::find(std::string_view aName)
+UpstreamPool::find(std::string_view aName) const
 {
   const auto it = std::find_if(mStates.begin(), mStates.end(), [&](const auto& aState) {
     return aState->address.name == aName;
--- a/libs/entry/src/Call.h
+++ b/libs/entry/src/Call.h
@@ -2,10 +2,13 @@
 
 #include "CallAttempt.h"
 #include "CallStage.h"
+#include "HedgeAttempt.h"
 #include <core/ClaimId.h>
 #include <core/Digest.h>
 #include <decide/AdmissionRequest.h>
+#include <decide/CallRank.h>
 #include <decide/Preset.h>
+#include <decide/QuotaTerms.h>
 #include <decide/UpstreamAddress.h>
 #include <entry/CallMetadata.h>
 #include <http/Request.h>
@@ -26,7 +29,11 @@
   std::uint64_t id = 0;
   std::shared_ptr<const Preset> preset; ///< owns `route`
   const Route* route = nullptr;
-  std::string service; ///< the route's, or one from its traffic split
+  const Tenant* tenant = nullptr; ///< owned by `preset`; null: it has none
+  std::string service;            ///< the route's, or one from its traffic split
+  /** Of the route and the tenant, which both bind. As of the call's arrival, like all of
+   * `preset`: a change binds the calls that arrive after it. */
+  AllowedRegions allowedRegions;
   CallMetadata metadata;
   http::Request request;
   http::ResponderPtr responder;
@@ -47,6 +54,13 @@
   Digest fingerprint;
   bool isTrial = false; ///< of a suspect that is blocked; see SuspectList
 
+  /** The quota of `tenant`; empty: it has none. */
+  std::optional<QuotaTerms> quota;
+  bool awaitsQuota = false;    ///< waits for a permit
+  bool hasQuotaPermit = false; ///< until quotaExpiresAt, unless it is sent by then
+  Instant quotaExpiresAt;
+  Duration quotaRetryAfter{ 0 }; ///< set if the quota is used up
+
   std::size_t pendingLoadQueries = 0; ///< unanswered load queries, in stage QueryingLoads
   int loadQueryRounds = 0;
   TimerHandle loadQueryTimer;
@@ -54,9 +68,13 @@
   std::optional<UpstreamAddress> upstream; ///< in stages Sending and Settling
   std::uint64_t exchange = 0; ///< id in the worker's connection pool; 0: none
   Instant sentAt;
+  std::size_t attempt = 0;           ///< index in `history` of the one at `upstream`
+  std::optional<HedgeAttempt> hedge; ///< beside the one at `upstream`
+  bool wasHedged = false;            ///< a hedge was sent
+  TimerHandle hedgeTimer;
   std::vector<std::string> excluded; ///< upstreams already tried, not chosen again
   int attempts = 0;
-  std::vector<CallAttempt> history; ///< all attempts, the current one last
+  std::vector<CallAttempt> history; ///< all attempts, in the order they were sent
   bool lastAttemptMayHaveRun = false;
   std::optional<http::Response> lastErrorResponse; ///< returned if no retry succeeds
   bool wasShed = false; ///< an upstream has rejected an attempt without running it
@@ -66,6 +84,14 @@
   bool mayHaveRun = false; ///< an attempt without a response may have run
   TimerHandle deadlineTimer;
 
+  Rank rank() const { return callRank(*route, tenant); }
+
+  /** Empty without a tenant. */
+  std::string_view tenantName() const
+  {
+    return tenant == nullptr ? std::string_view() : std::string_view(tenant->name);
+  }
+
   bool isOrder() const { return !route->idempotent; }
 
   /** An order with an idempotency key, which is claimed so that the order runs at most
--- a/libs/entry/src/EntryWorker.cpp
+++ b/libs/entry/src/EntryWorker.cpp
@@ -1,6 +1,7 @@
 #include "EntryWorker.h"
 #include "CallId.h"
 #include <decide/DescriptorBudget.h>
+#include <http/HttpError.h>
 #include <sys/resource.h>
 #include <telemetry/EventLog.h>
 
@@ -52,11 +53,12 @@
     [raw](http::Request aRequest, http::ResponderPtr aResponder) {
       raw->onRequest(std::move(aRequest), std::move(aResponder));
     },
-    aContext.dialect.encodeHttpError,
+    [raw](const std::error_code& aError) { return raw->encodeHttpError(aError); },
     [](const std::string& aError) {
       logEvent(LogEvent::AcceptFailed, { { "error", aError } });
     },
-    aContext.tables.messageBytes);
+    aContext.tables.messageBytes,
+    aContext.tables.requestBytes);
   if (listener.has_error()) {
     return listener.error();
   }
@@ -77,6 +79,19 @@
 
 EntryWorker::~EntryWorker() = default;
 
+http::Response
+EntryWorker::encodeHttpError(const std::error_code& aError)
+{
+  if (aError != HttpError::NoRoom) {
+    return mContext.dialect.encodeHttpError(aError);
+  }
+  logEvent(LogEvent::BodyRefused, { { "used_bytes", mTables.requestBytes->used() } });
+  auto response = mContext.dialect.encodeOutcome(
+    Outcome::NotRun, CallError::Overload, RetryAfterRange().draw(mRandom));
+  response.keepAlive = false; // the body may be on its way
+  return response;
+}
+
 void
 EntryWorker::onPresetChanged()
 {
@@ -100,6 +115,10 @@
     mLoadQueryBudget.emplace(queriesPerSecond, queriesPerSecond);
   }
   mRetryBudget.configure(RetryAllowance::of(limits, entries, workers));
+  mHedgeBudget.configure(mTables.settings.hedging, entries, workers);
+  if (mHedgeDelays.size() > preset->routes.size()) {
+    mHedgeDelays.clear(); // most are of routes that are gone
+  }
   if (limits.idleTimeout > Duration{ 0 }) {
     mListener->setTimeouts(limits.headerTimeout, limits.idleTimeout);
   }
@@ -181,9 +200,12 @@
 EntryWorker::retryAfterFor(const Call& aCall)
 {
   const auto now = mTimers.now();
+  if (aCall.quotaRetryAfter > Duration{ 0 }) {
+    return aCall.quotaRetryAfter;
+  }
   if (aCall.heldOffFor > Duration{ 0 }) {
     return RetryAfterRange::afterHoldOff(
-             aCall.deadline - now, aCall.heldOffFor, aCall.route->rank)
+             aCall.deadline - now, aCall.heldOffFor, aCall.rank())
       .draw(mRandom);
   }
   return RetryAfterRange::of(aCall.deadline - now,
@@ -195,7 +217,12 @@
 void
 EntryWorker::eraseCall(std::uint64_t aCall)
 {
-  mCalls.erase(aCall);
+  const auto it = mCalls.find(aCall);
+  if (it != mCalls.end()) {
+    cancelHedge(*it->second);
+    mRestrictedCalls -= it->second->allowedRegions.isAny() ? 0 : 1;
+    mCalls.erase(it);
+  }
 }
 
 void
--- a/libs/entry/src/EntryWorker.h
+++ b/libs/entry/src/EntryWorker.h
@@ -1,10 +1,16 @@
 #pragma once
 
+#include "Arrival.h"
 #include "Call.h"
 #include "LoadQueryId.h"
 #include "ReportSource.h"
 #include "WorkerContext.h"
 #include <core/CallError.h>
+#include <decide/HedgeBudget.h>
+#include <decide/HedgeDelay.h>
+#include <decide/HedgeRequest.h>
+#include <decide/KeyCheck.h>
+#include <decide/PresetInquiry.h>
 #include <decide/RetryAfterRange.h>
 #include <decide/RetryBudget.h>
 #include <decide/TrafficSplit.h>
@@ -30,6 +36,10 @@
                                                      std::uint32_t aIndex);
   ~EntryWorker();
 
+  /** Refuses the waiting calls that no upstream can get, as data centres are evacuated.
+   */
+  void onEvacuated();
+
   /** Admission gave a slot to a waiting call of `aService`. */
   void onSlotGranted(std::uint64_t aCall, const std::string& aService);
 
@@ -48,6 +58,9 @@
   /** The reply to a request for permits, for calls of `aRank`; they are in the table. */
   void onPermits(const UpstreamAddress& aUpstream, const PermitGrant& aGrant, Rank aRank);
 
+  /** The reply to a request for permits of a tenant's quota, for a call that waited. */
+  void onQuotaDecided(std::uint64_t aCall, const std::string& aTenant, bool aIsGranted);
+
   /** The active preset or the VM list has changed. */
   void onPresetChanged();
 
@@ -73,10 +86,16 @@
   // Arrival
   void onRequest(http::Request aRequest, http::ResponderPtr aResponder);
 
+  /** Makes a call of the request, or refuses it, by the preset in force now. */
+  void accept(Arrival aArrival);
+
   /** Refuses a request for which there is no preset or no route. */
   void refuseUnrouted(const CallMetadata& aMetadata,
                       const http::ResponderPtr& aResponder,
                       CallError aError);
+
+  /** The response to a request that could not be received. */
+  http::Response encodeHttpError(const std::error_code& aError);
   void respondToHealthCheck(const http::ResponderPtr& aResponder) const;
   void startCall(Call& aCall);
 
@@ -86,6 +105,33 @@
   void requestAdmission(Call& aCall);
   void requestClaim(Call& aCall);
 
+  // Quotas of tenants
+  /** Takes a permit for the call if its tenant has a quota, and then goes on with its
+   * admission; or waits for a permit, or ends the call. */
+  void startQuota(Call& aCall);
+
+  /** Whether the call may be sent, as far as its quota is concerned. Otherwise waits for
+   * a permit again, as the call's own has expired while it waited. */
+  bool hasValidQuota(Call& aCall);
+
+  /** True if the call has a permit; otherwise waits for one, or ends the call. */
+  bool drawQuota(Call& aCall);
+  void requestQuota(const std::string& aTenant);
+  void endAsOverQuota(Call& aCall);
+
+  /** The call has ended, or runs elsewhere: gives back its permit if it was not run. */
+  void returnQuota(Call& aCall);
+
+  // Callers' keys
+  /** Refuses a call for the key that it carries, or lacks. */
+  void refuseKey(const KeyCheck& aCheck, const Route& aRoute, const Arrival& aArrival);
+
+  /** Keeps a request with an unknown key until another VM was asked for a newer preset;
+   * false if it must be refused now. */
+  bool awaitNewerPreset(Arrival& aArrival);
+  void askForNewerPreset();
+  void onPresetInquiryEnd(std::uint64_t aInquiry);
+
   // Load queries
   /** Queries the load of the upstreams that the call may be sent to, and requests a
    * permit where it needs one; sends it if there is nothing to wait for. */
@@ -107,8 +153,17 @@
   void sendIfReady(Call& aCall);
   UpstreamQuery upstreamQueryFor(const Call& aCall) const;
   void send(Call& aCall);
-  http::Exchange makeExchange(const Call& aCall);
-  void onExchangeDone(std::uint64_t aCall, const http::ExchangeResult& aResult);
+  /** `aAttempt`: its index in Call::history. */
+  http::Exchange makeExchange(const Call& aCall,
+                              const UpstreamAddress& aUpstream,
+                              bool aHasPermit,
+                              std::size_t aAttempt);
+  void onExchangeDone(std::uint64_t aCall,
+                      std::size_t aAttempt,
+                      const http::ExchangeResult& aResult);
+  static void logUpstreamFailure(const UpstreamAddress& aUpstream,
+                                 const std::string& aCallId,
+                                 const http::ExchangeResult& aResult);
 
   /** Logs responses that came on the exchange's connection but belong to no request.
    * `aCallId` is "-" for a load query. */
@@ -136,16 +191,34 @@
                    const UpstreamReport& aReport,
                    ReportSource aSource,
                    Instant aSentAt);
+  void recordWarmUp(const UpstreamAddress& aUpstream,
+                    const UpstreamReport& aReport,
+                    ReportSource aSource);
   void markUpstreamLeaving(const UpstreamAddress& aUpstream, ReportSource aSource);
   void holdOffUpstream(const UpstreamAddress& aUpstream,
                        Duration aDuration,
                        ReportSource aSource);
 
-  /** Refuses the waiting calls of a service that no upstream can get. */
+  // Availability
+  /** Sets the regions in which the call may run. */
+  void restrictRegions(Call& aCall);
+
+  /** Whether an upstream that the call may use takes it now. */
+  ServiceAvailability availabilityFor(const Call& aCall) const;
+
+  /** Refuses the waiting calls that no upstream can get, after `aUpstream` has ceased to
+   * accept requests. */
+  void refuseWaitingIfUnavailable(const UpstreamAddress& aUpstream);
+
+  /** The same for all upstreams of a service. */
   void refuseWaitingIfUnavailable(const std::string& aService);
+
+  /** The same for this worker's calls that may run in some regions only; of all services
+   * if `aService` is empty. */
+  void refuseRestricted(const std::string& aService);
   void onUnavailable(std::uint64_t aCall);
 
-  /** Ends a call that no upstream can run: all leave, are held off or have no permit. */
+  /** Ends a call that no upstream can run now. */
   void endAsUnavailable(Call& aCall);
 
   /** Until the first upstream may accept the call again; 0 if any accepts it now, or none
@@ -174,6 +247,36 @@
   /** Records the current attempt's outcome and excludes its upstream from retries. */
   void endAttempt(Call& aCall, AttemptOutcome aOutcome);
 
+  // Hedges
+  /** Sets the time at which the call that was just sent gets a hedge. */
+  void scheduleHedge(Call& aCall);
+  void onHedgeDue(std::uint64_t aCall);
+  HedgeVerdict tryHedge(Call& aCall);
+
+  /** Chooses an upstream with a slot free, in another data centre if there is one. */
+  Result<UpstreamChoice> chooseForHedge(const Call& aCall);
+  void sendHedge(Call& aCall, const UpstreamChoice& aChoice);
+
+  /** One of two requests in progress has ended. Returns false if it is now the call's
+   * only one, with a usable response; true if the other one goes on. */
+  bool onHedgedExchangeDone(Call& aCall,
+                            std::size_t aAttempt,
+                            const http::ExchangeResult& aResult);
+
+  /** Whether the response can be the call's; errors give way to the other request. */
+  bool isUsable(const http::ExchangeResult& aResult) const;
+
+  /** Exchanges the roles of the two requests in progress. */
+  static void swapHedge(Call& aCall);
+  void endFailedHedge(Call& aCall, const http::ExchangeResult& aResult);
+
+  /** Cancels the second request, if one is in progress. */
+  void cancelHedge(Call& aCall);
+  void endHedge(Call& aCall, AttemptOutcome aOutcome);
+
+  /** Records how long the first request of the call took, or has taken so far. */
+  void recordHedgeDelay(const Call& aCall);
+
   // Ending
   void onDeadline(std::uint64_t aCall);
   void onCallerGone(std::uint64_t aCall);
@@ -214,6 +317,7 @@
   http::UpstreamConnectionPool mUpstreamConnections;
   std::unique_ptr<http::HttpListener> mListener;
   std::unordered_map<std::uint64_t, std::unique_ptr<Call>> mCalls;
+  std::size_t mRestrictedCalls = 0; ///< those of `mCalls` that may not run in any region
   std::uint64_t mNextSequence = 1;
   std::optional<TokenBucket> mLoadQueryBudget; ///< set with the first preset
   RetryBudget mRetryBudget;
@@ -227,8 +331,15 @@
   };
   std::map<std::pair<std::string, std::string>, PermitWait>
     mPermitWaits; ///< by upstream name and instance
+  PresetInquiry mPresetInquiry;
+  std::map<std::uint64_t, Arrival> mWaitingArrivals; ///< for the inquiry in progress
+  std::uint64_t mNextArrival = 1;
+  std::uint64_t mInquiry = 0; ///< number of the inquiry in progress
+  TimerHandle mInquiryTimer;
   TrafficSplit mTrafficSplit;
   std::mt19937_64 mRandom;
+  HedgeBudget mHedgeBudget;
+  std::unordered_map<std::string, HedgeDelay> mHedgeDelays; ///< by route
   TimerHandle mGaugeTimer;
 };
 
--- a/libs/tables/include/tables/UpstreamTable.h
+++ b/libs/tables/include/tables/UpstreamTable.h
@@ -22,9 +22,11 @@
   /** `aLocality` is where this process runs; `aSeed` seeds the random choices. */
   UpstreamTable(Locality aLocality, std::uint64_t aSeed);
 
-  /** Applies the list of upstreams and the limits of `aPreset`. */
+  /** Applies the list of upstreams, the evacuated data centres and the limits of
+   * `aPreset`. */
   void update(const Preset& aPreset,
               const std::vector<UpstreamAddress>& aAddresses,
+              const DataCentreNames& aEvacuated,
               Instant aNow);
 
   /**
@@ -55,6 +57,12 @@
   /** Stores a load report of the upstream. */
   void reportLoad(const UpstreamAddress& aUpstream, const LoadReport& aLoad);
 
+  /** A load query was answered after `aTime`. Call it before reportLoad(). */
+  void recordReplyTime(const UpstreamAddress& aUpstream, Duration aTime);
+
+  /** See UpstreamPool::hasRoom(); false for an unknown service. */
+  bool hasRoom(const std::string& aService) const;
+
   /** The upstream could not be reached for a load query; no call was sent to it. */
   void reportUnreachable(const UpstreamAddress& aUpstream, Instant aNow);
 
@@ -73,6 +81,17 @@
                           Instant aSentAt,
                           Instant aNow);
 
+  /** Applies the time that a response states; see UpstreamPool::recordWarmUp(). */
+  LimitChange recordWarmUp(const UpstreamAddress& aUpstream,
+                           Duration aLeft,
+                           Instant aNow);
+
+  /** The instances that update() has found to be cold since the last call. */
+  std::vector<UpstreamAddress> takeNewlyCold();
+
+  /** Whether the upstream's instance takes a load query; see UpstreamState. */
+  bool acceptsLoadQuery(const UpstreamAddress& aUpstream, Instant aNow) const;
+
   /** The upstream for which a permit should be requested before the call is sent; see
    * UpstreamPool::permitCandidate(). */
   std::optional<PermitCandidate> permitCandidate(const UpstreamQuery& aQuery,
@@ -84,21 +103,24 @@
                   Rank aRank,
                   Instant aNow);
 
-  /** Whether the upstream's instance is listed, does not leave, is not held off, and has
-   * no request limit or the request has a permit. */
+  /** Whether the upstream's instance is listed, does not leave, is neither evacuated nor
+   * held off, and has no request limit or the request has a permit. */
   bool acceptsRequest(const UpstreamAddress& aUpstream,
                       bool aHasPermit,
                       Instant aNow) const;
 
-  /** Whether any upstream of the service may get a call of `aRank`. */
+  /** Whether any upstream of the service in `aAllowedRegions` may get a call of `aRank`.
+   */
   ServiceAvailability availability(const std::string& aService,
                                    Rank aRank,
+                                   const AllowedRegions& aAllowedRegions,
                                    Instant aNow) const;
 
   /** See UpstreamPool::typicalProcessingTime(); zero for an unknown service. */
   Duration typicalProcessingTime(const std::string& aService) const;
 
-  /** The total slots of a service in a region, excluding leaving upstreams. */
+  /** The total slots of a service in a region (empty: in all), excluding leaving and
+   * evacuated upstreams. */
   int slotsIn(const std::string& aService, const std::string& aRegion) const;
 
   /** The state of all upstreams, in no particular order. */
@@ -109,6 +131,9 @@
                                       const UpstreamQuery& aQuery,
                                       Instant aNow);
 
+  /** A view of `aQuery`, which must outlive it. */
+  CandidateFilter filterFor(const UpstreamQuery& aQuery) const;
+
   /** Takes the query's bytes from the link's budget; false if it is exhausted. */
   bool reserveLinkBytes(const UpstreamQuery& aQuery, Instant aNow);
 
--- a/libs/tables/src/UpstreamTable.cpp
+++ b/libs/tables/src/UpstreamTable.cpp
@@ -12,6 +12,7 @@
 void
 UpstreamTable::update(const Preset& aPreset,
                       const std::vector<UpstreamAddress>& aAddresses,
+                      const DataCentreNames& aEvacuated,
                       Instant aNow)
 {
   std::scoped_lock lock(mMutex);
@@ -23,8 +24,14 @@
   for (const auto& it : aAddresses) {
     byService[it.service].push_back(it);
   }
+  for (auto& [service, pool] : mPools) {
+    pool.setEvacuated(aEvacuated, aNow);
+  }
   for (const auto& service : aPreset.services) {
-    mPools[service.name].update(byService[service.name], service.slots, aNow);
+    auto& pool = mPools[service.name];
+    pool.configureWarmUp(WarmUpPolicy::of(service, aPreset.warmUp));
+    pool.setEvacuated(aEvacuated, aNow);
+    pool.update(byService[service.name], service.slots, aNow);
   }
 }
 
@@ -33,17 +40,16 @@
 {
   std::scoped_lock lock(mMutex);
   auto& pool = mPools[aQuery.service];
+  const auto filter = filterFor(aQuery);
   const auto* const chosen =
     mPolicy == LoadBalancingPolicy::EstimatedLatency
-      ? pool.chooseLowestLatency(
-          mLocality, aQuery.limit, mMaxInFlight, aQuery.excluded, aNow, mRandom)
+      ? pool.chooseLowestLatency(mLocality, aQuery.limit, filter, aNow, mRandom)
       : chooseByRegion(pool, aQuery, aNow);
   if (chosen == nullptr) {
-    return pool.hasCandidate(mMaxInFlight, aQuery.excluded, aNow) ? CallError::Overload
-                                                                  : CallError::NoUpstream;
+    return pool.hasCandidate(filter, aNow) ? CallError::Overload : CallError::NoUpstream;
   }
   return UpstreamChoice{
-    chosen->address, chosen->load, chosen->inFlight, chosen->requestLimit.has_value()
+    chosen->address, chosen->load, chosen->inFlight, chosen->limitAt(aNow).has_value()
   };
 }
 
@@ -53,12 +59,15 @@
                               Instant aNow)
 {
   for (const auto& region : aPool.regions(mLocality.region)) {
+    if (!aQuery.allowedRegions.allows(region)) {
+      continue; // takes nothing from the link's budget
+    }
     const bool isLocal = region == mLocality.region;
     if (!isLocal && !reserveLinkBytes(aQuery, aNow)) {
       continue;
     }
     const auto* const chosen =
-      aPool.choose(mPolicy, region, mMaxInFlight, aQuery.excluded, aNow, mRandom);
+      aPool.choose(mPolicy, region, filterFor(aQuery), aNow, mRandom);
     if (chosen != nullptr) {
       return chosen;
     }
@@ -78,7 +87,7 @@
 {
   std::scoped_lock lock(mMutex);
   return mPools[aQuery.service].staleTopCandidates(
-    mLocality, mMaxInFlight, aQuery.excluded, aScope, aMaxReportAge, aNow, mRandom);
+    mLocality, filterFor(aQuery), aScope, aMaxReportAge, aNow, mRandom);
 }
 
 void
@@ -98,6 +107,25 @@
   mPools[aUpstream.service].reportLoad(aUpstream.name, aLoad);
 }
 
+void
+UpstreamTable::recordReplyTime(const UpstreamAddress& aUpstream, Duration aTime)
+{
+  std::scoped_lock lock(mMutex);
+  // Only the first query to an upstream surely opened a connection.
+  if (aUpstream.dataCentre != mLocality.dataCentre &&
+      !mPools[aUpstream.service].hasReport(aUpstream)) {
+    mLocality.replyTimes.record(aUpstream.dataCentre, aTime);
+  }
+}
+
+bool
+UpstreamTable::hasRoom(const std::string& aService) const
+{
+  std::scoped_lock lock(mMutex);
+  const auto it = mPools.find(aService);
+  return it != mPools.end() && it->second.hasRoom();
+}
+
 void
 UpstreamTable::reportUnreachable(const UpstreamAddress& aUpstream, Instant aNow)
 {
@@ -129,12 +157,41 @@
   return mPools[aUpstream.service].recordLimit(aUpstream, aPerSecond, aSentAt, aNow);
 }
 
+LimitChange
+UpstreamTable::recordWarmUp(const UpstreamAddress& aUpstream,
+                            Duration aLeft,
+                            Instant aNow)
+{
+  std::scoped_lock lock(mMutex);
+  return mPools[aUpstream.service].recordWarmUp(aUpstream, aLeft, aNow);
+}
+
+std::vector<UpstreamAddress>
+UpstreamTable::takeNewlyCold()
+{
+  std::scoped_lock lock(mMutex);
+  std::vector<UpstreamAddress> all;
+  for (auto& [service, pool] : mPools) {
+    const auto some = pool.takeNewlyCold();
+    all.insert(all.end(), some.begin(), some.end());
+  }
+  return all;
+}
+
+bool
+UpstreamTable::acceptsLoadQuery(const UpstreamAddress& aUpstream, Instant aNow) const
+{
+  std::scoped_lock lock(mMutex);
+  const auto it = mPools.find(aUpstream.service);
+  return it != mPools.end() && it->second.acceptsLoadQuery(aUpstream, aNow);
+}
+
 std::optional<PermitCandidate>
 UpstreamTable::permitCandidate(const UpstreamQuery& aQuery, Instant aNow)
 {
   std::scoped_lock lock(mMutex);
   return mPools[aQuery.service].permitCandidate(
-    mLocality, aQuery.limit, aQuery.rank, mMaxInFlight, aQuery.excluded, aNow, mRandom);
+    mLocality, aQuery.limit, aQuery.rank, filterFor(aQuery), aNow, mRandom);
 }
 
 void
@@ -158,12 +215,15 @@
 }
 
 ServiceAvailability
-UpstreamTable::availability(const std::string& aService, Rank aRank, Instant aNow) const
+UpstreamTable::availability(const std::string& aService,
+                            Rank aRank,
+                            const AllowedRegions& aAllowedRegions,
+                            Instant aNow) const
 {
   std::scoped_lock lock(mMutex);
   const auto it = mPools.find(aService);
   return it == mPools.end() ? ServiceAvailability{}
-                            : it->second.availability(aRank, aNow);
+                            : it->second.availability(aRank, aNow, aAllowedRegions);
 }
 
 Duration
@@ -194,6 +254,16 @@
   return states;
 }
 
+CandidateFilter
+UpstreamTable::filterFor(const UpstreamQuery& aQuery) const
+{
+  return { mMaxInFlight,
+           aQuery.excluded,
+           aQuery.allowedRegions,
+           aQuery.isOptional,
+           aQuery.avoidedDataCentre };
+}
+
 bool
 UpstreamTable::reserveLinkBytes(const UpstreamQuery& aQuery, Instant aNow)
 {
--- a/tests/harness/GatewaySystem.cpp
+++ b/tests/harness/GatewaySystem.cpp
@@ -69,9 +69,12 @@
 {
   writeSettings(aIndex);
   keepLog(aIndex);
-  mGateways[at(aIndex)] = std::make_unique<ChildProcess>(
-    QStringLiteral("masticwall-gateway"),
-    QStringList{ QStringLiteral("--settings"), settingsPath(aIndex) });
+  mGateways[at(aIndex)] =
+    std::make_unique<ChildProcess>(QStringLiteral("masticwall-gateway"),
+                                   QStringList{ QStringLiteral("--settings"),
+                                                settingsPath(aIndex),
+                                                QStringLiteral("--hedge-share"),
+                                                QString::number(mHedgeShare) });
 }
 
 void
@@ -118,26 +121,46 @@
   return answer.value_or(http::Response{}).body;
 }
 
+std::string
+GatewaySystem::state(int aIndex)
+{
+  const auto answer = callOnce(
+    host(kFirstGateway + aIndex), kReadyPort, makeRequest("GET", "/state"), 1000);
+  return answer.value_or(http::Response{}).body;
+}
+
 void
 GatewaySystem::writeConfig(int aVersion)
 {
   const auto version = std::to_string(aVersion);
-  const auto row = [](const std::string& aPath, const std::string& aKind) {
+  const bool hasTenants = !mTenants.empty();
+  const auto row = [&](const std::string& aPath, const std::string& aKind) {
+    const auto regions = aPath == "/read/" ? mReadRegions : "null";
+    const bool isPublic = aPath == "/open/";
     return R"(["r)" + aPath + R"(","a.example",")" + aPath + R"(",")" + aKind +
-           R"(","2s","200ms",1,"lookup",2])";
+           R"(","2s","200ms",1,"lookup",2,)" + regions +
+           (hasTenants ? (isPublic ? ",true]" : ",false]") : "]");
   };
-  writeRecord(
-    "keyed.op",
-    "config",
-    R"({"version":)" + version +
-      R"(,"routes":{"columns":["name","host","path-prefix","kind","timeout",)" +
-      R"("target-latency","priority","service","attempts"],"rows":[)" +
-      row("/read/", "safe") + ',' + row("/order/", "unsafe") + ',' +
-      row("/v" + version + '/', "safe") +
-      R"(]},"services":{"columns":["name","health-path","max-connections"],)" +
-      R"("rows":[["lookup","/health",240]]},"limits":{"max-header-bytes":16384,)" +
-      R"("max-body-bytes":)" + std::to_string(mMaxBodyBytes) +
-      R"(,"header-timeout":"3s","idle-timeout":"15s"}})");
+  const std::string tenants =
+    hasTenants ? R"(,"tenants":{"columns":["name","api-keys","priority","rate-per-s",)"
+                 R"("burst"],"rows":[)" +
+                   mTenants + "]}"
+               : "";
+  writeRecord("keyed.op",
+              "config",
+              R"({"version":)" + version +
+                R"(,"routes":{"columns":["name","host","path-prefix","kind","timeout",)" +
+                R"("target-latency","priority","service","attempts","allowed-regions")" +
+                (hasTenants ? R"(,"public"],"rows":[)" + row("/open/", "safe") + ','
+                            : R"(],"rows":[)") +
+                row("/read/", "safe") + ',' + row("/order/", "unsafe") + ',' +
+                row("/v" + version + '/', "safe") +
+                R"(]},"services":{"columns":["name","health-path","max-connections",)" +
+                R"("warmup","warmup-per-s"],"rows":[["lookup","/health",240,"60s",)" +
+                std::to_string(mWarmUpPerSecond) +
+                R"(]]},"limits":{"max-header-bytes":16384,"max-body-bytes":)" +
+                std::to_string(mMaxBodyBytes) +
+                R"(,"header-timeout":"3s","idle-timeout":"15s"})" + tenants + "}");
 }
 
 void
@@ -148,14 +171,21 @@
 {
   const auto address = host(kFirstUpstream + aIndex).toString().toStdString() + ':' +
                        std::to_string(kUpstreamPort);
+  const auto zone = mZones.count(aIndex) > 0 ? mZones[aIndex] : "recife";
   const auto value =
     R"({"address":")" + address + R"(","born":)" + std::to_string(aStartedMs) +
-    R"(,"info":{"service":"lookup","version":"v1",)" +
-    R"("zone":"recife","concurrency-limit":4},"status":{"state":")" + aState +
-    R"(","sequence":)" + std::to_string(aSequence) + R"(,"warmup-left":"0ms"}})";
+    R"(,"info":{"service":"lookup","version":"v1","zone":")" + zone +
+    R"(","concurrency-limit":4},"status":{"state":")" + aState + R"(","sequence":)" +
+    std::to_string(aSequence) + R"(,"warmup-left":")" + mListedWarmUp + R"("}})";
   writeRecord("keyed.servers", upstreamName(aIndex), aState.empty() ? "" : value);
 }
 
+void
+GatewaySystem::evacuate(const std::string& aZone, bool aIsEvacuated)
+{
+  writeRecord("keyed.op", "evacuate/" + aZone, aIsEvacuated ? "{}" : "");
+}
+
 void
 GatewaySystem::writeRecord(const std::string& aTopic,
                            const std::string& aKey,
@@ -217,6 +247,20 @@
   return ctl.waitForEnd() == 0 ? ctl.standardOutput() : QString();
 }
 
+QString
+GatewaySystem::logs()
+{
+  keepLogs();
+  QString text;
+  for (int i = 0; i < static_cast<int>(mGateways.size()); ++i) {
+    QFile file(logPath(i));
+    if (file.open(QIODevice::ReadOnly)) {
+      text += QString::fromUtf8(file.readAll());
+    }
+  }
+  return text;
+}
+
 LedgerFile
 GatewaySystem::ledgerOf(int aIndex) const
 {
@@ -315,7 +359,8 @@
 GatewaySystem::writeSettings(int aIndex, double aRetryShare) const
 {
   const auto ip = host(kFirstGateway + aIndex).toString();
-  const auto store = host(kStoreHost).toString();
+  const bool isCut = mCutFromStore.count(aIndex) > 0;
+  const auto store = host(isCut ? kNoStoreHost : kStoreHost).toString();
   const auto seed = host(kFirstGateway).toString();
   QFile file(settingsPath(aIndex));
   if (!file.open(QIODevice::WriteOnly)) {
@@ -327,9 +372,12 @@
                             "[network]\nseeds = [\"%4:%6\"]\n[network.listen]\n"
                             "front = \"%2:%5\"\nready = \"%2:%7\"\ncontrol = \"%2:%6\"\n"
                             "[network.zones]\nrecife = \"litoral\"\n"
+                            "natal = \"litoral\"\npetrolina = \"sertao\"\n"
                             "[platform.platform]\naddress = \"%3:%8\"\n"
                             "[terms.bounds]\ngrace = \"6s\"\n"
-                            "retry-budget-ratio = %9\n")
+                            "cold-over = 1.5\ncold-slack = 8\n"
+                            "retry-budget-ratio = %9\n"
+                            "fail-closed = %12\nrevoke = \"%13ms\"\n")
                .arg(aIndex)
                .arg(ip, store, seed)
                .arg(kFrontPort)
@@ -339,6 +387,8 @@
                .arg(aRetryShare)
                .arg(mMaxFds)
                .arg(mMemoryMb)
+               .arg(mFailsClosed ? QStringLiteral("true") : QStringLiteral("false"))
+               .arg(mRevokeMs)
                .toUtf8());
 }
 
--- a/tests/harness/GatewaySystem.h
+++ b/tests/harness/GatewaySystem.h
@@ -5,7 +5,9 @@
 #include "TestCaller.h"
 #include <QTemporaryDir>
 #include <core/Bytes.h>
+#include <map>
 #include <memory>
+#include <set>
 #include <vector>
 
 namespace masticwall::test {
@@ -34,6 +36,12 @@
 
   /** Appends what the gateways have logged to files, which explain() reads. */
   void keepLogs();
+
+  /** What all gateways have logged so far. */
+  QString logs();
+
+  /** A gateway's state dump. */
+  std::string state(int aIndex);
   /** Starts one more gateway; returns its index. */
   int addGateway();
 
@@ -47,6 +55,30 @@
   /** Of requests and answers; in the configurations that are written from now on. */
   void setMaxBodyBytes(qint64 aBytes) { mMaxBodyBytes = aBytes; }
 
+  /** Rows of the columns "name", "api-keys", "priority", and maybe "rate-per-s" and
+   * "burst", in the configurations that
+   * are written from now on; with them "/open/" is a public route. */
+  void setTenants(const std::string& aRows) { mTenants = aRows; }
+
+  /** What the settings of gateways that are started from now on say of keys. */
+  void setKeyPolicy(bool aFailsClosed, int aRevokeMs)
+  {
+    mFailsClosed = aFailsClosed;
+    mRevokeMs = aRevokeMs;
+  }
+
+  /** The operator's share of hedges, for gateways that are started from now on. */
+  void setHedgeShare(double aShare) { mHedgeShare = aShare; }
+
+  /** From its next start on, a gateway has no path to the store. */
+  void cutFromStore(int aIndex) { mCutFromStore.insert(aIndex); }
+  /** The requests a second that cold upstreams take, in the configurations that are
+   * written from now on; 0: not limited. */
+  void setWarmUpPerSecond(double aPerSecond) { mWarmUpPerSecond = aPerSecond; }
+
+  /** For which upstreams that are listed from now on are still cold, as a text. */
+  void setListedWarmUp(const std::string& aLeft) { mListedWarmUp = aLeft; }
+
   /** Of gateways that are started from now on. */
   void setLimits(int aMaxFds, int aMemoryMb);
 
@@ -63,6 +95,17 @@
                     const std::string& aState,
                     qint64 aStartedMs = 1'700'000'000'000,
                     int aSequence = 1);
+  /** The zone with which an upstream is listed from now on: "recife" unless set, "natal",
+   * both in the gateways' region "litoral", or "petrolina" in "sertao". */
+  void placeUpstream(int aIndex, const std::string& aZone) { mZones[aIndex] = aZone; }
+
+  /** Evacuates a zone, or takes that back. */
+  void evacuate(const std::string& aZone, bool aIsEvacuated = true);
+
+  /** The `allowed-regions` of "/read/", as JSON; in the configurations that are written
+   * from now on. */
+  void allowReadsIn(const std::string& aRegions) { mReadRegions = aRegions; }
+
   void writeRecord(const std::string& aTopic,
                    const std::string& aKey,
                    const std::string& aValue);
@@ -110,6 +153,7 @@
 
 private:
   static constexpr int kStoreHost = 2;
+  static constexpr int kNoStoreHost = 3; ///< nothing listens there
 
   static std::size_t at(int aIndex) { return static_cast<std::size_t>(aIndex); }
   void keepLog(int aIndex);
@@ -124,6 +168,15 @@
   int mNet;
   bool mWritesThroughOutages = false;
   qint64 mMaxBodyBytes = kMiB;
+  std::set<int> mCutFromStore;
+  std::string mTenants;
+  bool mFailsClosed = false;
+  double mHedgeShare = 0.0;
+  int mRevokeMs = 5000;
+  std::string mReadRegions = "null";
+  std::map<int, std::string> mZones; ///< by upstream
+  double mWarmUpPerSecond = 0.0;
+  std::string mListedWarmUp = "0ms";
   int mMaxFds = 4100;
   int mMemoryMb = 260;
   QTemporaryDir mDirectory;
