--- a/libs/decide/tests/FairRoomTest.cpp
+++ b/libs/decide/tests/FairRoomTest.cpp
@@ -102,8 +102,8 @@
       }
     }
     std::sort(parts.begin(), parts.end());
-    return std::accumulate(parts.begin(), parts.begin() + kTenants / 10, 0.0) /
-           (kTenants / 10);
+    constexpr int kTenth = kTenants / 10;
+    return std::accumulate(parts.begin(), parts.begin() + kTenth, 0.0) / kTenth;
   }
 
 private:
--- a/tests/model/QuotaModel.h
+++ b/tests/model/QuotaModel.h
@@ -21,6 +21,7 @@
   {
     std::lognormal_distribution<double> unevenness(0.0, 1.0);
     std::vector<double> weights;
+    weights.reserve(static_cast<std::size_t>(mPlan.vms));
     for (int i = 0; i < mPlan.vms; ++i) {
       weights.push_back(unevenness(mRandom));
     }
