--- a/libs/decide/include/decide/InFlightLimit.h
+++ b/libs/decide/include/decide/InFlightLimit.h
@@ -12,7 +12,7 @@
  * or two calls, and calls come unevenly, so that some wait in one VM while slots are
  * free. While the upstreams have room, a VM may exceed its share by as much as its calls
  * in flight vary: by the root of the share. Without room the share holds, as the
- * upstreams' queues would fill.
+ * upstreams' queues would fill. Room is looked at when a call arrives.
  */
 struct InFlightLimit
 {
--- a/libs/decide/include/decide/QuotaStock.h
+++ b/libs/decide/include/decide/QuotaStock.h
@@ -72,7 +72,7 @@
   std::deque<WaitingCall> mWaiting;
   QuotaForecast mForecast;
   int mPermits = 0;        ///< in mBatches
-  int mReturned = 0;       ///< to be told to the issuer
+  int mReturned = 0;       ///< reported with the next request
   int mRequestedAhead = 0; ///< in requests without a reply
   Instant mNextRequestAt;  ///< until then calls are refused at once
   Instant mRetryAt;        ///< for callers
--- a/libs/decide/include/decide/WarmUpPolicy.h
+++ b/libs/decide/include/decide/WarmUpPolicy.h
@@ -10,7 +10,8 @@
  *
  * The load that this answers: two VMs that issue permits for the same upstream for a
  * while, as each of them has lost the other, or has another list of VMs. Both together
- * stay within what the operator tolerates in a second, so that nothing has to be agreed.
+ * issue what the operator tolerates in a second, so that nothing has to be agreed; more
+ * may arrive in a second in which permits of the one before are used as well.
  */
 struct WarmUpPolicy
 {
--- a/libs/decide/src/AdmissionQueue.cpp
+++ b/libs/decide/src/AdmissionQueue.cpp
@@ -53,8 +53,8 @@
     queue.push(aRequest);
     return { AdmissionVerdict::Wait, std::nullopt };
   }
-  // Fairness: a tenant or caller with far fewer waiting calls displaces the newest call
-  // of the one with the most.
+  // Fairness: callers by the number of their waiting calls, tenants by when these would
+  // start.
   const auto displaced = queue.displaceFor(aRequest);
   if (!displaced.has_value()) {
     return { AdmissionVerdict::Refuse, std::nullopt };
--- a/libs/entry/src/EntryWorker.h
+++ b/libs/entry/src/EntryWorker.h
@@ -317,7 +317,7 @@
   http::UpstreamConnectionPool mUpstreamConnections;
   std::unique_ptr<http::HttpListener> mListener;
   std::unordered_map<std::uint64_t, std::unique_ptr<Call>> mCalls;
-  std::size_t mRestrictedCalls = 0; ///< those of `mCalls` that may not run in any region
+  std::size_t mRestrictedCalls = 0; ///< those of `mCalls` that are barred from a region
   std::uint64_t mNextSequence = 1;
   std::optional<TokenBucket> mLoadQueryBudget; ///< set with the first preset
   RetryBudget mRetryBudget;
--- a/libs/entry/src/EntryWorkerAvailability.cpp
+++ b/libs/entry/src/EntryWorkerAvailability.cpp
@@ -35,7 +35,7 @@
   refuseRestricted({});
   const auto preset = mTables.presets.current();
   if (preset == nullptr || mIndex != 0) {
-    return; // all workers are told, but one is enough for the shared queues
+    return; // the queues are shared: one worker refuses for all
   }
   for (const auto& it : preset->services) {
     refuseWaitingIfUnavailable(it.name);
