Tell an empty list of tenants from a missing one

Callers saw: after a version that took the last tenant away, calls ran on routes that aren't public with the withdrawn key and with keys that no configuration ever held. Upstreams got the key and the caller's own Masticwall-Tenant.

Cause: Preset::tenants was a plain list, and an empty one stood for "calls need no key". The decoder wrote that value for a configuration without tenants, with an empty list, and with a field of another type; KeyCheck, what upstreams get of the caller's credentials, and the tenants' shares of a queue read it.

Evidence: event=preset-in-force named the new version, so it had arrived; the version before answers unknown keys with 401, so it was the new one that was read as one without keys. Ruled out by the same line: a version that is rejected or late. The line now has tenants=, the state dump "tenants", which tell the two apart.

Change: the list is optional. A list, be it empty, means that keys are needed and none is known, wherever the preset comes from: the feed and the cache carry the source's text, and SIGHUP, a start from a peer alone and a restored store decode it with the same function.

--- a/libs/decide/include/decide/Preset.h
+++ b/libs/decide/include/decide/Preset.h
@@ -17,6 +17,7 @@
 #include <decide/Tenant.h>
 #include <decide/TenantIndex.h>
 #include <decide/WarmUpTolerance.h>
+#include <optional>
 #include <vector>
 
 namespace masticwall {
@@ -35,7 +36,10 @@
   LinkBudget link;       ///< for calls to other regions
   std::vector<Service> services;
   std::vector<Route> routes;
-  std::vector<Tenant> tenants; ///< empty: calls need no key
+
+  /** Empty: calls need no key. A list without a tenant: no key is known, so that only
+   * public routes let calls in. */
+  std::optional<std::vector<Tenant>> tenants;
   KeyPolicy keys;
   QuotaTolerance quota;
   WarmUpTolerance warmUp;
@@ -45,17 +49,25 @@
   LargestTenants largestTenants; ///< built likewise
   bool restrictsRegions = false; ///< some calls may run in some regions only; likewise
 
+  /** The tenants that the preset lists; none if calls need no key. */
+  const std::vector<Tenant>& listedTenants() const
+  {
+    static const std::vector<Tenant> sNone;
+    return tenants.has_value() ? *tenants : sNone;
+  }
+
   /** Builds the indices; call it after the last change to `routes` and
    * `tenants`. */
   void indexRoutes()
   {
+    const auto& listed = listedTenants();
     routeIndex = RouteIndex(routes);
-    targets = ServiceTargets(routes, tenants);
-    tenantIndex = TenantIndex(tenants);
-    largestTenants = LargestTenants(tenants);
+    targets = ServiceTargets(routes, listed);
+    tenantIndex = TenantIndex(listed);
+    largestTenants = LargestTenants(listed);
     const auto isRestricted = [](const auto& aIt) { return !aIt.allowedRegions.isAny(); };
     restrictsRegions = std::any_of(routes.begin(), routes.end(), isRestricted) ||
-                       std::any_of(tenants.begin(), tenants.end(), isRestricted);
+                       std::any_of(listed.begin(), listed.end(), isRestricted);
   }
 };
 
--- a/libs/decide/src/KeyCheck.cpp
+++ b/libs/decide/src/KeyCheck.cpp
@@ -5,13 +5,15 @@
 namespace {
 
 const Tenant*
-findTenant(const Preset& aPreset, const CallerCredential& aCredential)
+findTenant(const std::vector<Tenant>& aTenants,
+           const TenantIndex& aIndex,
+           const CallerCredential& aCredential)
 {
   if (aCredential.form != CredentialForm::Key) {
     return nullptr;
   }
-  const auto position = aPreset.tenantIndex.find(aPreset.tenants, aCredential.key);
-  return position.has_value() ? &aPreset.tenants[*position] : nullptr;
+  const auto position = aIndex.find(aTenants, aCredential.key);
+  return position.has_value() ? &aTenants[*position] : nullptr;
 }
 
 /** Of a call that carries no key that is known. */
@@ -39,11 +41,12 @@
              const CallerCredential& aCredential,
              Duration aSourceAge)
 {
-  if (aPreset.tenants.empty()) {
+  if (!aPreset.tenants.has_value()) {
     return {};
   }
   const bool isStale = aSourceAge > aPreset.keys.revokeWithin;
-  const auto* const tenant = findTenant(aPreset, aCredential);
+  const auto* const tenant =
+    findTenant(*aPreset.tenants, aPreset.tenantIndex, aCredential);
   if (tenant != nullptr && !(isStale && aPreset.keys.failsClosed)) {
     return { KeyVerdict::Known, tenant };
   }
--- a/libs/decide/tests/KeyCheckTest.cpp
+++ b/libs/decide/tests/KeyCheckTest.cpp
@@ -22,7 +22,7 @@
   Tenant tenant;
   tenant.name = "sese";
   tenant.keys = { "known" };
-  preset.tenants = { tenant };
+  preset.tenants = std::vector{ tenant };
   preset.indexRoutes();
   return preset;
 }
@@ -50,7 +50,7 @@
   const auto preset = makePreset();
   const auto known = check(preset, kKnown);
   CHECK(known.verdict == KeyVerdict::Known);
-  CHECK(known.tenant == &preset.tenants[0]);
+  CHECK(known.tenant == &preset.tenants->at(0));
   CHECK_FALSE(known.refusal().has_value());
   CHECK(check(preset, kNone).verdict == KeyVerdict::Missing);
   CHECK(check(preset, kUnknown).verdict == KeyVerdict::Unknown);
@@ -71,10 +71,11 @@
     CHECK(result.tenant == nullptr);
     CHECK_FALSE(result.refusal().has_value());
   }
-  CHECK(check(preset, kKnown, kFresh, true).tenant == &preset.tenants[0]);
+  CHECK(check(preset, kKnown, kFresh, true).tenant == &preset.tenants->at(0));
 }
 
-TEST_CASE("without tenants no call needs a key, whatever it carries and however old")
+TEST_CASE(
+  "without a list of tenants no call needs a key, whatever it carries and however old")
 {
   Preset preset;
   preset.routes.emplace_back();
@@ -87,6 +88,22 @@
   }
 }
 
+// Guards against a preset that lists no tenant any more and lets every key in.
+TEST_CASE("with a list of no tenants no key is known, and only public routes are open")
+{
+  auto preset = makePreset();
+  preset.tenants->clear();
+  preset.indexRoutes();
+  for (const auto& it : { kNone, kKnown, kUnknown, kMalformed, kRepeated }) {
+    CHECK(check(preset, it).refusal() == CallError::UnknownKey);
+    CHECK_FALSE(check(preset, it, kFresh, true).refusal().has_value());
+    CHECK(check(preset, it, kFresh, true).tenant == nullptr);
+  }
+  CHECK(check(preset, kKnown).verdict == KeyVerdict::Unknown);
+  // A tenant may have been added since.
+  CHECK(check(preset, kKnown, kOld).refusal() == CallError::NotReady);
+}
+
 TEST_CASE(
   "a VM that has not heard of new keys for long can't judge a key it doesn't know")
 {
@@ -104,9 +121,9 @@
 TEST_CASE("known keys hold on a VM without news, unless the operator wants it closed")
 {
   auto preset = makePreset();
-  CHECK(check(preset, kKnown, kOld).tenant == &preset.tenants[0]);
+  CHECK(check(preset, kKnown, kOld).tenant == &preset.tenants->at(0));
   preset.keys.failsClosed = true;
-  CHECK(check(preset, kKnown, 5s).tenant == &preset.tenants[0]);
+  CHECK(check(preset, kKnown, 5s).tenant == &preset.tenants->at(0));
   const auto closed = check(preset, kKnown, kOld);
   CHECK(closed.verdict == KeyVerdict::Stale);
   CHECK(closed.refusal() == CallError::NotReady);
@@ -118,7 +135,7 @@
 TEST_CASE("a withdrawn key is refused by the preset that withdraws it")
 {
   auto preset = makePreset();
-  preset.tenants[0].keys = { "next" };
+  preset.tenants->at(0).keys = { "next" };
   preset.indexRoutes();
   CHECK(check(preset, kKnown).refusal() == CallError::UnknownKey);
   CHECK(check(preset, { CredentialForm::Key, "next" }).verdict == KeyVerdict::Known);
@@ -139,10 +156,10 @@
   urgent.rank = Rank::Urgent;
   Tenant plain;
   plain.name = "p";
-  preset.tenants = { plain, urgent };
+  preset.tenants = std::vector{ plain, urgent };
   preset.indexRoutes();
   CHECK(callRank(route, nullptr) == Rank::Standard);
-  CHECK(callRank(route, &preset.tenants[0]) == Rank::Standard);
-  CHECK(callRank(route, &preset.tenants[1]) == Rank::Urgent);
+  CHECK(callRank(route, &preset.tenants->at(0)) == Rank::Standard);
+  CHECK(callRank(route, &preset.tenants->at(1)) == Rank::Urgent);
   CHECK(preset.targets.lowestMoreUrgentTarget("s", Rank::Standard) == 400ms);
 }
--- a/libs/entry/src/EntryWorkerArrival.cpp
+++ b/libs/entry/src/EntryWorkerArrival.cpp
@@ -22,12 +22,12 @@
                         : std::hash<std::string_view>()(caller);
 }
 
-/** Where there are tenants, each has its share of the room, whatever its connections. A
- * caller without one counts as a tenant without a quota. */
+/** Where the preset lists tenants, each has its share of the room, whatever its
+ * connections. A caller without one counts as a tenant without a quota. */
 void
 setShare(const Call& aCall, AdmissionRequest& aRequest)
 {
-  if (aCall.preset->tenants.empty()) {
+  if (!aCall.preset->tenants.has_value()) {
     return;
   }
   const auto* const tenant = aCall.tenant;
--- a/libs/entry/src/EntryWorkerSending.cpp
+++ b/libs/entry/src/EntryWorkerSending.cpp
@@ -25,7 +25,7 @@
 TenantField
 tenantFieldOf(const Call& aCall)
 {
-  return { !aCall.preset->tenants.empty(), std::string(aCall.tenantName()) };
+  return { aCall.preset->tenants.has_value(), std::string(aCall.tenantName()) };
 }
 
 } // namespace
--- a/libs/entry/src/StateDump.cpp
+++ b/libs/entry/src/StateDump.cpp
@@ -84,6 +84,16 @@
   return list;
 }
 
+/** The number of tenants; null if the preset has no list of them, so that calls need no
+ * key. */
+QJsonValue
+dumpTenantCount(const Preset* aPreset)
+{
+  return aPreset != nullptr && aPreset->tenants.has_value()
+           ? QJsonValue(static_cast<qint64>(aPreset->tenants->size()))
+           : QJsonValue();
+}
+
 QJsonArray
 dumpWorkers(const EntryTables& aTables)
 {
@@ -114,6 +124,7 @@
     { QStringLiteral("preset"), preset == nullptr ? QString() : toQString(preset->name) },
     { QStringLiteral("version"),
       preset == nullptr ? 0 : static_cast<qint64>(preset->version) },
+    { QStringLiteral("tenants"), dumpTenantCount(preset.get()) },
     { QStringLiteral("orders"), static_cast<qint64>(aTables.orders.size()) },
     { QStringLiteral("evacuated"), dumpEvacuated(aTables) },
     { QStringLiteral("upstreams"), dumpUpstreams(aTables) },
--- a/libs/gateway/include/gateway/ConfigSyncReading.h
+++ b/libs/gateway/include/gateway/ConfigSyncReading.h
@@ -172,8 +172,12 @@
   auto preset = std::make_shared<Preset>(std::move(decoded.value()));
   preset->version = aVersion;
   if (mTables.presets.put(preset)) {
-    logEvent(LogEvent::PresetInForce,
-             { { "version", aVersion }, { "routes", preset->routes.size() } });
+    const auto& tenants = preset->tenants;
+    logEvent(
+      LogEvent::PresetInForce,
+      { { "version", aVersion },
+        { "routes", preset->routes.size() },
+        { "tenants", tenants.has_value() ? std::to_string(tenants->size()) : "-" } });
     logTenantKeyProblems(*preset);
     mOnChange();
   }
--- a/libs/gateway/src/QuotaService.cpp
+++ b/libs/gateway/src/QuotaService.cpp
@@ -313,7 +313,7 @@
   }
   mPreset = std::move(preset);
   mTerms.clear();
-  for (const auto& it : mPreset->tenants) {
+  for (const auto& it : mPreset->listedTenants()) {
     if (!hasValidQuota(it)) {
       logEvent(LogEvent::QuotaBad,
                { { "tenant", it.name },
--- a/libs/gateway/src/TenantKeyLog.cpp
+++ b/libs/gateway/src/TenantKeyLog.cpp
@@ -6,12 +6,13 @@
 void
 logTenantKeyProblems(const Preset& aPreset)
 {
+  const auto& tenants = aPreset.listedTenants();
   for (const auto& it : aPreset.tenantIndex.problems()) {
     logEvent(LogEvent::TenantKeyBad,
              { { "version", aPreset.version },
                { "fault", nameOf(it.fault) },
-               { "tenant", aPreset.tenants[it.tenant].name },
-               { "other", aPreset.tenants[it.other].name } });
+               { "tenant", tenants[it.tenant].name },
+               { "other", tenants[it.other].name } });
   }
 }
 
--- a/tests/harness/GatewaySystem.cpp
+++ b/tests/harness/GatewaySystem.cpp
@@ -133,7 +133,7 @@
 GatewaySystem::writeConfig(int aVersion)
 {
   const auto version = std::to_string(aVersion);
-  const bool hasTenants = !mTenants.empty();
+  const bool hasTenants = mTenants.has_value();
   const auto row = [&](const std::string& aPath, const std::string& aKind) {
     const auto regions = aPath == "/read/" ? mReadRegions : "null";
     const bool isPublic = aPath == "/open/";
@@ -144,7 +144,7 @@
   const std::string tenants =
     hasTenants ? R"(,"tenants":{"columns":["name","api-keys","priority","rate-per-s",)"
                  R"("burst"],"rows":[)" +
-                   mTenants + "]}"
+                   *mTenants + "]}"
                : "";
   writeRecord("keyed.op",
               "config",
--- a/tests/harness/GatewaySystem.h
+++ b/tests/harness/GatewaySystem.h
@@ -7,6 +7,7 @@
 #include <core/Bytes.h>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -56,10 +57,14 @@
   void setMaxBodyBytes(qint64 aBytes) { mMaxBodyBytes = aBytes; }
 
   /** Rows of the columns "name", "api-keys", "priority", and maybe "rate-per-s" and
-   * "burst", in the configurations that
-   * are written from now on; with them "/open/" is a public route. */
+   * "burst", in the configurations that are written from now on: none, if it is empty.
+   * With them "/open/" is a public route. */
   void setTenants(const std::string& aRows) { mTenants = aRows; }
 
+  /** The configurations that are written from now on don't contain tenants, as at first.
+   */
+  void omitTenants() { mTenants.reset(); }
+
   /** What the settings of gateways that are started from now on say of keys. */
   void setKeyPolicy(bool aFailsClosed, int aRevokeMs)
   {
@@ -169,7 +174,7 @@
   bool mWritesThroughOutages = false;
   qint64 mMaxBodyBytes = kMiB;
   std::set<int> mCutFromStore;
-  std::string mTenants;
+  std::optional<std::string> mTenants;
   bool mFailsClosed = false;
   double mHedgeShare = 0.0;
   int mRevokeMs = 5000;
--- a/tests/integration/TenantTest.cpp
+++ b/tests/integration/TenantTest.cpp
@@ -32,9 +32,8 @@
 
 /** Writes a configuration and waits until all gateways have it. */
 bool
-publish(GatewaySystem& aSystem, int aGateways, int aVersion, const std::string& aTenants)
+publish(GatewaySystem& aSystem, int aGateways, int aVersion)
 {
-  aSystem.setTenants(aTenants);
   aSystem.writeConfig(aVersion);
   const auto text = "masticwall_preset_version " + std::to_string(aVersion);
   return waitUntil([&] {
@@ -47,6 +46,13 @@
   });
 }
 
+bool
+publish(GatewaySystem& aSystem, int aGateways, int aVersion, const std::string& aTenants)
+{
+  aSystem.setTenants(aTenants);
+  return publish(aSystem, aGateways, aVersion);
+}
+
 std::string
 echoOf(const std::optional<http::Response>& aResponse, const char* aField)
 {
@@ -131,6 +137,88 @@
   CHECK(callOpen(bearer("key-bulk")) == "bulk");
 }
 
+// Guards against a configuration with a list of no tenants that opens all routes, to any
+// key, on whichever way a gateway gets it.
+TEST_CASE("when the last tenant is withdrawn, no key lets a call in any more")
+{
+  constexpr int kCutOff = 1;
+  constexpr int kStartedLater = 2;
+  GatewaySystem system(3, 1);
+  system.cutFromStore(kCutOff);
+  system.cutFromStore(kStartedLater);
+  REQUIRE(system.start());
+  REQUIRE(publish(system, 3, 2, R"(["sese",["key-1"],0])"));
+  std::vector<std::unique_ptr<TestCaller>> callers;
+  for (int i = 0; i < 3; ++i) {
+    callers.push_back(
+      std::make_unique<TestCaller>(system.gatewayHost(i), GatewaySystem::kFrontPort));
+    callers.back()->send(
+      GatewaySystem::makeCall("POST", "/order/1", "before", bearer("key-1")));
+    CHECK(statusOf(callers.back()->receive(5000)) == 200);
+  }
+  system.setStore("save=1");
+  REQUIRE(publish(system, 3, 3, ""));
+  const auto before = system.ledger().runs;
+  const auto refusesAll = [&](int aGateway) {
+    for (const auto* const key : { "key-1", "never-held" }) {
+      auto headers = bearer(key);
+      headers.push_back({ "Masticwall-Tenant", "sese" });
+      const auto answer = system.call(aGateway, "POST", "/order/1", key, headers);
+      CHECK(statusOf(answer) == 401);
+    }
+    CHECK(statusOf(system.call(aGateway, "POST", "/order/1", "none")) == 401);
+  };
+  for (int i = 0; i < 3; ++i) {
+    CAPTURE(i);
+    refusesAll(i);
+    callers[static_cast<std::size_t>(i)]->send(
+      GatewaySystem::makeCall("POST", "/order/1", "kept", bearer("key-1")));
+    CHECK(statusOf(callers[static_cast<std::size_t>(i)]->receive(5000)) == 401);
+  }
+  SECTION("in a gateway that reads the configuration again after SIGHUP")
+  {
+    for (int i = 0; i < 3; ++i) {
+      system.writeSettings(i, 0.3);
+      system.gateway(i).signal(SIGHUP);
+    }
+    runEventsFor(300);
+    for (int i = 0; i < 3; ++i) {
+      CAPTURE(i);
+      refusesAll(i);
+    }
+  }
+  SECTION("in gateways whose store comes back from a copy that still lists the tenant")
+  {
+    system.setStore("restore=1");
+    const auto calls = system.setStore();
+    REQUIRE(waitUntil([&] { return system.setStore() >= calls + 8; }));
+    for (int i = 0; i < 3; ++i) {
+      CAPTURE(i);
+      refusesAll(i);
+    }
+  }
+  SECTION("in a gateway that starts with it and has it from a peer alone")
+  {
+    system.gateway(kStartedLater).kill();
+    system.startGateway(kStartedLater);
+    REQUIRE(waitUntil([&] { return system.isReady(kStartedLater); }));
+    refusesAll(kStartedLater);
+  }
+  CHECK(system.ledger().runs == before);
+  const auto open = system.call(
+    0, "GET", "/open/1", "open", { bearer("key-1")[0], { "Masticwall-Tenant", "sese" } });
+  CHECK(statusOf(open) == 200);
+  CHECK(echoOf(open, "Echo-Authorization").empty());
+  CHECK(echoOf(open, "Echo-Masticwall-Tenant").empty());
+  CHECK(system.state(0).find("\"tenants\":0") != std::string::npos);
+  CHECK(system.logs().contains(QStringLiteral("version=3 routes=4 tenants=0")));
+  // Without the list calls need no key again.
+  system.omitTenants();
+  REQUIRE(publish(system, 3, 4));
+  CHECK(statusOf(read(system, 0, "never-held")) == 200);
+  CHECK(system.logs().contains(QStringLiteral("version=4 routes=3 tenants=-")));
+}
+
 TEST_CASE("without tenants credentials are passed on as they came")
 {
   GatewaySystem system(1, 1);
