--- a/review/kit-3/rig.py
+++ b/review/kit-3/rig.py
@@ -64,6 +64,13 @@
     """Plays a case and ends the process: 1 if the rule was broken, 0 if it held, 2 if the case
     could not run."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
+
+    def on_signal(_number, _frame):
+        rig.stop()
+        os._exit(2)
+
+    signal.signal(signal.SIGTERM, on_signal)
+    signal.signal(signal.SIGINT, on_signal)
     try:
         code = 1 if asyncio.run(rig.guard(play(rig, trouble))) else 0
     except (OSError, RuntimeError, asyncio.TimeoutError) as error:
